Move the client of the configuration service to a package that says so

The folder platform/ becomes the adapter to the users' platform alone. The client of the configuration service and of the VM list keeps its code and tests in configservice/.

--- a/platform/client.go
+++ b/configservice/client.go
@@ -1,6 +1,6 @@
-// Package platform holds the HTTP clients of the platform: the configuration service and the VM list. Both answer
+// Package configservice holds the HTTP clients of the platform: the configuration service and the VM list. Both answer
 // blocking queries: a query with an index waits until the state has a higher one.
-package platform
+package configservice
 
 import (
 	"context"
--- a/platform/client_test.go
+++ b/configservice/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configservice_test
 
 import (
 	"encoding/base64"
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/cowslipward/cowslipward/platform"
+	"github.com/cowslipward/cowslipward/configservice"
 	"github.com/cowslipward/cowslipward/settings"
 )
 
@@ -28,7 +28,7 @@
 		_, _ = fmt.Fprint(w, answer)
 	}))
 	defer service.Close()
-	client := platform.NewClient(settings.Platform{ConfigURL: service.URL, VMsURL: service.URL, RulesKey: "rules"}, netip.Addr{})
+	client := configservice.NewClient(settings.Platform{ConfigURL: service.URL, VMsURL: service.URL, RulesKey: "rules"}, netip.Addr{})
 
 	for _, bad := range []string{"", "{", "[{\"Value\":\"%%\"}]", "[]", "[{\"Value\":3}]"} {
 		answer = bad
@@ -58,7 +58,7 @@
 func TestSilentQueryEnds(t *testing.T) {
 	service := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	defer service.Close()
-	client := platform.NewClient(settings.Platform{ConfigURL: service.URL, RulesKey: "rules"}, netip.Addr{})
+	client := configservice.NewClient(settings.Platform{ConfigURL: service.URL, RulesKey: "rules"}, netip.Addr{})
 	begin := time.Now()
 	_, err := client.Rules(t.Context(), 7)
 	require.Error(t, err)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -20,7 +20,7 @@
 	"github.com/cowslipward/cowslipward/gen/cowslipward/fleet/v1/fleetv1connect"
 	"github.com/cowslipward/cowslipward/internal/pause"
 	"github.com/cowslipward/cowslipward/keys"
-	"github.com/cowslipward/cowslipward/platform"
+	"github.com/cowslipward/cowslipward/configservice"
 	"github.com/cowslipward/cowslipward/rules"
 	"github.com/cowslipward/cowslipward/settings"
 )
@@ -43,7 +43,7 @@
 type Feed struct {
 	cfg      Config
 	log      *slog.Logger
-	platform *platform.Client
+	platform *configservice.Client
 	table    *fleet.Table
 	book     *rulebook
 	self     *selfRecord
@@ -75,7 +75,7 @@
 	f := &Feed{
 		cfg:      cfg,
 		log:      cfg.Log,
-		platform: platform.NewClient(cfg.Platform, cfg.LocalIP),
+		platform: configservice.NewClient(cfg.Platform, cfg.LocalIP),
 		table:    fleet.NewTable(),
 		book:     newRulebook(cfg.Log),
 		self:     newSelfRecord(cfg),
