--- /dev/null
+++ b/cmd/cowslip-l4/balancer.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/forward"
+	"github.com/cowslipward/cowslipward/internal/logsink"
+	"github.com/cowslipward/cowslipward/platform"
+	"github.com/cowslipward/cowslipward/settings"
+	"github.com/cowslipward/cowslipward/viewsync"
+)
+
+// storeDialTimeout bounds the dialing of the store.
+const storeDialTimeout = 300 * time.Millisecond
+
+func runBalancer(file string, check bool) error {
+	s, err := settings.LoadPacketBalancer(file)
+	if err != nil {
+		return fmt.Errorf("%w:\n%w", errSettings, err)
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	log, sink := startLog("balancer", &s.PacketCommon)
+	defer sink.Close(logCloseLimit)
+	ready := &readiness{}
+	app := fx.New(
+		fx.NopLogger,
+		fx.Supply(s, &s.PacketCommon, log, ready),
+		fx.Provide(newBalancer, newSyncer),
+		fx.Invoke(startBalancer, serveCommon),
+	)
+	reload := func() {
+		if _, err := settings.LoadPacketBalancer(file); err != nil {
+			log.Error("settings_refused", "error", err)
+			return
+		}
+		log.Info("settings_unchanged", "reason", "a balancer takes new settings at its next start")
+	}
+	return runApp(app, &s.PacketCommon, ready, reload, log)
+}
+
+func newBalancer(s *settings.PacketBalancer, log *slog.Logger) (*forward.Balancer, error) {
+	return forward.OpenBalancer(forward.BalancerConfig{
+		Domain:    s.FailureDomain,
+		Packets:   s.Packets,
+		Tunnel:    s.Tunnel,
+		DomainOut: time.Duration(s.DomainOut),
+		Log:       log,
+		Sampler:   logsink.NewSampler(s.Log.Rate),
+	})
+}
+
+// newSyncer returns the syncer that feeds the balancer. The process takes packets once it knows a configuration.
+func newSyncer(s *settings.PacketBalancer, b *forward.Balancer, ready *readiness, log *slog.Logger) *viewsync.Syncer {
+	store := platform.NewStore(s.Store, s.Peers.Addr(), storeDialTimeout)
+	publish := func(view *directory.View, known time.Duration) {
+		b.SetView(view, known)
+		if view.Config != nil && ready.first.CompareAndSwap(false, true) {
+			ready.state.Store(true)
+			log.Info("ready", "version", view.Config.Version, "targets", view.TargetCount(), "since_start", b.Now())
+		}
+	}
+	return viewsync.New(store, b.Now, publish, log)
+}
+
+func startBalancer(lc fx.Lifecycle, s *settings.PacketBalancer, b *forward.Balancer, v *viewsync.Syncer, log *slog.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StartStopHook(
+		func() {
+			go v.Run(ctx)
+			go b.Run()
+			log.Info("started", "packets", s.Packets, "tunnel", s.Tunnel, "peers", s.Peers, "store", s.Store)
+		},
+		func() {
+			cancel()
+			b.Close()
+		},
+	))
+}
--- /dev/null
+++ b/cmd/cowslip-l4/run.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/fx"
+
+	"github.com/cowslipward/cowslipward/internal/logsink"
+	"github.com/cowslipward/cowslipward/platform"
+	"github.com/cowslipward/cowslipward/settings"
+)
+
+const (
+	// gcPercent trades processor time for memory.
+	gcPercent = 50
+	// logCloseLimit bounds the writing of the last log lines.
+	logCloseLimit = 200 * time.Millisecond
+	headerTimeout = 2 * time.Second
+	stopMargin    = 3 * time.Second
+)
+
+func limitMemory() { debug.SetGCPercent(gcPercent) }
+
+// readiness tells whether the process takes packets.
+type readiness struct {
+	state atomic.Bool
+	first atomic.Bool // it was ready once
+}
+
+// startLog returns the logger of a process and the sink to close at its end.
+func startLog(role string, s *settings.PacketCommon) (*slog.Logger, *logsink.Sink) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.Log.Level)); err != nil {
+		level = slog.LevelInfo
+	}
+	sink := logsink.New(os.Stdout)
+	handler := slog.NewTextHandler(sink, &slog.HandlerOptions{Level: level})
+	return slog.New(handler).With("role", role, "vm", s.VM), sink
+}
+
+// serve starts an HTTP server that ends with the application.
+func serve(lc fx.Lifecycle, address netip.AddrPort, handler http.Handler, log *slog.Logger) error {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return fmt.Errorf("bind %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	lc.Append(fx.StartStopHook(
+		func() {
+			go func() {
+				if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+					log.Error("http_server_failed", "address", address, "error", err)
+				}
+			}()
+		},
+		func(context.Context) error { return server.Close() },
+	))
+	return nil
+}
+
+func metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	return mux
+}
+
+// serveCommon starts the servers for readiness and metrics.
+func serveCommon(lc fx.Lifecycle, s *settings.PacketCommon, ready *readiness, log *slog.Logger) error {
+	if err := serve(lc, s.Ready, platform.ReadyHandler(ready.state.Load), log); err != nil {
+		return err
+	}
+	return serve(lc, s.Metrics, metricsHandler(), log)
+}
+
+// runApp starts the application, waits for a signal and stops it: first readiness turns false, after the delay the rest.
+func runApp(app *fx.App, common *settings.PacketCommon, ready *readiness, reload func(), log *slog.Logger) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	if err := app.Start(context.Background()); err != nil {
+		return err
+	}
+	for received := range signals {
+		if received == syscall.SIGHUP {
+			reload()
+			continue
+		}
+		log.Info("stopping", "signal", received.String(), "delay", time.Duration(common.StopDelay))
+		break
+	}
+	ready.state.Store(false)
+	time.Sleep(time.Duration(common.StopDelay))
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
+	defer cancel()
+	err := app.Stop(ctx)
+	log.Info("stopped")
+	return err
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,211 @@
+// Package directory holds what a process knows of the deployment: the configuration in force, the targets and the
+// failure domains that operators have taken out. A Directory takes changes in any order and yields immutable views.
+package directory
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cowslipward/cowslipward/flow"
+)
+
+// Choice is a service that takes a share of a route's new flows.
+type Choice struct {
+	Service string
+	Weight  uint32 // relative to the other choices of the route
+}
+
+// Route says where new flows to an address go.
+type Route struct {
+	Name       string
+	Address    flow.Endpoint
+	Choices    []Choice
+	Repeatable bool          // a request may run more than once
+	Timeout    time.Duration // of a request
+	Objective  time.Duration // within which an answer is in time
+	Priority   int           // 0 is the highest
+}
+
+// Service describes the targets of one kind.
+type Service struct {
+	Name       string
+	HealthPath string
+	ColdFor    time.Duration // after its start a target is cold for this long
+	ColdRate   float64       // new flows a second that a cold target bears; 0 is no limit
+}
+
+// Config is a whole configuration.
+type Config struct {
+	Version     int64
+	Routes      []Route
+	Services    []Service
+	IdleTimeout time.Duration // after which an idle flow may be forgotten
+}
+
+// TargetState is what a target says of itself.
+type TargetState uint8
+
+// States of a target.
+const (
+	TargetReady TargetState = iota + 1
+	TargetDraining
+)
+
+// String returns the state as logs show it.
+func (s TargetState) String() string {
+	if s == TargetDraining {
+		return "draining"
+	}
+	return "ready"
+}
+
+// Target is one entry of the platform's list of targets.
+type Target struct {
+	ID       string
+	Service  string
+	Address  flow.Endpoint
+	Domain   string // failure domain
+	Slots    int    // requests that it works on at once
+	State    TargetState
+	ColdLeft time.Duration // how long it stays cold, counted from Seen
+	Born     int64         // start of the target, Unix milliseconds by its own clock
+
+	Seen   time.Duration // steady time at which this process took the entry over
+	Lapsed time.Duration // steady time at which the entry lapsed while the store was away; 0: it holds
+}
+
+// ColdUntil returns the steady time until which the target is cold.
+func (t *Target) ColdUntil() time.Duration { return t.Seen + t.ColdLeft }
+
+// Kind says what a record of the store describes.
+type Kind uint8
+
+// Kinds of record.
+const (
+	KindConfig Kind = iota + 1
+	KindTarget
+	KindOut // a failure domain is out of service
+)
+
+// Record is one record of the store in the product's types. Exactly one of Config and Target is set where the kind has
+// a body. A record that cannot be read has Unreadable set and stands for no target and no configuration.
+type Record struct {
+	Kind       Kind
+	Name       string // ID of the target, failure domain, or empty
+	Revision   uint64 // the store's revision of the last change
+	Removed    bool
+	Unreadable string  `json:",omitempty"` // why the record could not be read
+	Config     *Config `json:",omitempty"`
+	Target     *Target `json:",omitempty"`
+}
+
+// View is an immutable picture of the deployment.
+type View struct {
+	Revision uint64 // of the store: everything up to it is in the view
+	Config   *Config
+	Out      []string // failure domains out of service, sorted
+
+	routes   map[flow.Endpoint]*Route
+	services map[string]*Service
+	targets  map[string][]*Target // by service, ordered by ID
+	byIP     map[[4]byte]*Target
+	formerly map[string][]string // by the name of the route: services that earlier configurations named
+}
+
+// Route returns the route of an address, or nil.
+func (v *View) Route(address flow.Endpoint) *Route { return v.routes[address] }
+
+// Service returns the description of a service, or nil.
+func (v *View) Service(name string) *Service { return v.services[name] }
+
+// Targets returns the targets of a service, ordered by ID, in any state. The caller must not change them.
+func (v *View) Targets(service string) []*Target { return v.targets[service] }
+
+// TargetOn returns the target on the VM with the address, or nil.
+func (v *View) TargetOn(ip [4]byte) *Target { return v.byIP[ip] }
+
+// Formerly returns services that earlier configurations named for the route and the present one does not.
+func (v *View) Formerly(route string) []string { return v.formerly[route] }
+
+// IsOut reports whether the failure domain is out of service.
+func (v *View) IsOut(domain string) bool {
+	_, found := slices.BinarySearch(v.Out, domain)
+	return found
+}
+
+// TargetCount returns the number of targets of all services.
+func (v *View) TargetCount() int {
+	n := 0
+	for _, targets := range v.targets {
+		n += len(targets)
+	}
+	return n
+}
+
+// Choose returns the service for a new flow. Processes with the same configuration choose the same.
+func (r *Route) Choose(hash uint64) string {
+	if len(r.Choices) == 1 {
+		return r.Choices[0].Service
+	}
+	var sum uint64
+	for _, c := range r.Choices {
+		sum += uint64(c.Weight)
+	}
+	if sum == 0 {
+		return ""
+	}
+	point := hash % sum
+	for _, c := range r.Choices {
+		if point < uint64(c.Weight) {
+			return c.Service
+		}
+		point -= uint64(c.Weight)
+	}
+	return ""
+}
+
+// ServiceTag returns the number by which packets between processes name a service.
+func ServiceTag(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
+
+func newView(revision uint64, config *Config, targets map[string]*Target, out map[string]bool, formerly map[string][]string) *View {
+	v := &View{
+		Revision: revision,
+		Config:   config,
+		routes:   make(map[flow.Endpoint]*Route),
+		services: make(map[string]*Service),
+		targets:  make(map[string][]*Target),
+		byIP:     make(map[[4]byte]*Target, len(targets)),
+		formerly: formerly,
+	}
+	if config != nil {
+		for i := range config.Routes {
+			v.routes[config.Routes[i].Address] = &config.Routes[i]
+		}
+		for i := range config.Services {
+			v.services[config.Services[i].Name] = &config.Services[i]
+		}
+	}
+	for _, t := range targets {
+		v.targets[t.Service] = append(v.targets[t.Service], t)
+		v.byIP[t.Address.IP] = newer(v.byIP[t.Address.IP], t)
+	}
+	for _, list := range v.targets {
+		slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
+	}
+	for domain := range out {
+		v.Out = append(v.Out, domain)
+	}
+	slices.Sort(v.Out)
+	return v
+}
+
+// newer returns the target that uses an address now, where the entry of an earlier user still stands.
+func newer(a, b *Target) *Target {
+	if a == nil || b.Born > a.Born {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/directory/merge.go
@@ -0,0 +1,245 @@
+package directory
+
+import (
+	"slices"
+	"time"
+)
+
+// lapseGrace is how long after the return of the store an entry that lapsed during the outage may still come back.
+const lapseGrace = 2 * time.Second
+
+// Directory merges records by their revision. Versions of the configuration only rise. It is not safe for concurrent
+// use; the views that it yields are.
+type Directory struct {
+	revision  uint64
+	config    *Config
+	configRev uint64
+	targets   map[string]*Target
+	revs      map[string]uint64 // revision of the last record of each target and failure domain, removals included
+	out       map[string]bool
+	formerly  map[string][]string
+	dirty     bool
+	view      *View
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	d := &Directory{
+		targets:  make(map[string]*Target),
+		revs:     make(map[string]uint64),
+		out:      make(map[string]bool),
+		formerly: make(map[string][]string),
+	}
+	d.view = newView(0, nil, nil, nil, nil)
+	return d
+}
+
+// View returns the present view. It is the same pointer until a change.
+func (d *Directory) View() *View {
+	if d.dirty {
+		d.view = newView(d.revision, d.config, d.targets, d.out, cloneLists(d.formerly))
+		d.dirty = false
+	}
+	return d.view
+}
+
+// Revision returns the store's revision up to which everything is known.
+func (d *Directory) Revision() uint64 { return d.revision }
+
+// Advance notes that everything up to the revision is known.
+func (d *Directory) Advance(revision uint64) {
+	if revision > d.revision {
+		d.revision = revision
+		d.dirty = true
+	}
+}
+
+// Apply merges one record and reports whether it changed anything. An older record than the one held is ignored. With
+// away set, the store returned from an outage a moment ago, so that a removal counts as a lapse that may be undone.
+func (d *Directory) Apply(r *Record, now time.Duration, away bool) bool {
+	switch r.Kind {
+	case KindConfig:
+		return d.applyConfig(r)
+	case KindTarget:
+		return d.applyTarget(r, now, away)
+	case KindOut:
+		return d.applyOut(r)
+	default:
+		return false
+	}
+}
+
+func (d *Directory) applyConfig(r *Record) bool {
+	if r.Config == nil || r.Revision <= d.configRev {
+		return false
+	}
+	if d.config != nil && r.Config.Version <= d.config.Version {
+		return false
+	}
+	d.noteFormerServices(r.Config)
+	d.config, d.configRev, d.dirty = r.Config, r.Revision, true
+	return true
+}
+
+// noteFormerServices remembers the services that the present configuration names for each route, since open flows stay
+// where they are.
+func (d *Directory) noteFormerServices(next *Config) {
+	if d.config == nil {
+		return
+	}
+	kept := make(map[string][]string)
+	for i := range next.Routes {
+		route := &next.Routes[i]
+		var names []string
+		for _, service := range append(d.formerly[route.Name], d.servicesOf(route.Name)...) {
+			if !route.names(service) && !slices.Contains(names, service) {
+				names = append(names, service)
+			}
+		}
+		if len(names) > 0 {
+			kept[route.Name] = names
+		}
+	}
+	d.formerly = kept
+}
+
+func (d *Directory) servicesOf(route string) []string {
+	for i := range d.config.Routes {
+		if d.config.Routes[i].Name != route {
+			continue
+		}
+		var names []string
+		for _, c := range d.config.Routes[i].Choices {
+			names = append(names, c.Service)
+		}
+		return names
+	}
+	return nil
+}
+
+func (r *Route) names(service string) bool {
+	return slices.ContainsFunc(r.Choices, func(c Choice) bool { return c.Service == service })
+}
+
+func (d *Directory) applyTarget(r *Record, now time.Duration, away bool) bool {
+	key := "target/" + r.Name
+	if r.Revision <= d.revs[key] {
+		return false
+	}
+	held := d.targets[r.Name]
+	if r.Removed && away && held != nil {
+		if held.Lapsed != 0 {
+			return false
+		}
+		lapsed := *held
+		lapsed.Lapsed = now
+		d.targets[r.Name], d.dirty = &lapsed, true
+		return true
+	}
+	d.revs[key] = r.Revision
+	if r.Target == nil { // removed or unreadable
+		delete(d.targets, r.Name)
+		d.dirty = d.dirty || held != nil
+		return held != nil
+	}
+	target := *r.Target
+	target.Seen, target.Lapsed = now, 0
+	d.targets[r.Name], d.dirty = &target, true
+	return true
+}
+
+func (d *Directory) applyOut(r *Record) bool {
+	key := "out/" + r.Name
+	if r.Revision <= d.revs[key] {
+		return false
+	}
+	d.revs[key] = r.Revision
+	changed := d.out[r.Name] == r.Removed
+	if r.Removed {
+		delete(d.out, r.Name)
+	} else {
+		d.out[r.Name] = true
+	}
+	d.dirty = d.dirty || changed
+	return changed
+}
+
+// Replace merges a whole copy of the store at a revision: what it lacks has been removed. It returns the records that
+// changed something.
+func (d *Directory) Replace(records []Record, revision uint64, now time.Duration, away bool) []Record {
+	var changed []Record
+	present := make(map[string]bool, len(records))
+	for i := range records {
+		r := &records[i]
+		present[recordKey(r.Kind, r.Name)] = true
+		if d.Apply(r, now, away) {
+			changed = append(changed, *r)
+		}
+	}
+	for _, r := range d.missing(present, revision) {
+		if d.Apply(&r, now, away) {
+			changed = append(changed, r)
+		}
+	}
+	d.Advance(revision)
+	return changed
+}
+
+// missing returns removals for what a whole copy of the store lacks.
+func (d *Directory) missing(present map[string]bool, revision uint64) []Record {
+	var gone []Record
+	for id := range d.targets {
+		if key := recordKey(KindTarget, id); !present[key] && d.revs[key] < revision {
+			gone = append(gone, Record{Kind: KindTarget, Name: id, Revision: revision, Removed: true})
+		}
+	}
+	for domain := range d.out {
+		if key := recordKey(KindOut, domain); !present[key] && d.revs[key] < revision {
+			gone = append(gone, Record{Kind: KindOut, Name: domain, Revision: revision, Removed: true})
+		}
+	}
+	return gone
+}
+
+func recordKey(kind Kind, name string) string {
+	if kind == KindOut {
+		return "out/" + name
+	}
+	return "target/" + name
+}
+
+// DropLapsed removes targets whose entries lapsed during an outage and did not come back in time. It returns their IDs.
+func (d *Directory) DropLapsed(now time.Duration) []string {
+	var gone []string
+	for id, t := range d.targets {
+		if t.Lapsed != 0 && now-t.Lapsed >= lapseGrace {
+			delete(d.targets, id)
+			gone = append(gone, id)
+			d.dirty = true
+		}
+	}
+	return gone
+}
+
+// Records returns everything known, for a peer.
+func (d *Directory) Records() []Record {
+	var all []Record
+	if d.config != nil {
+		all = append(all, Record{Kind: KindConfig, Revision: d.configRev, Config: d.config})
+	}
+	for id, t := range d.targets {
+		all = append(all, Record{Kind: KindTarget, Name: id, Revision: d.revs[recordKey(KindTarget, id)], Target: t})
+	}
+	for domain := range d.out {
+		all = append(all, Record{Kind: KindOut, Name: domain, Revision: d.revs[recordKey(KindOut, domain)]})
+	}
+	return all
+}
+
+func cloneLists(m map[string][]string) map[string][]string {
+	clone := make(map[string][]string, len(m))
+	for key, list := range m {
+		clone[key] = slices.Clone(list)
+	}
+	return clone
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,415 @@
+// Package dispatch decides what a balancer does with each packet: it places new flows, finds the targets of open ones
+// and refuses what cannot be served. It uses no network.
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/encap"
+	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/placement"
+)
+
+const (
+	// tableEntries bounds the flow table.
+	tableEntries = 200_000
+	// tableIdle is how long an entry stays without a packet, at least. Losing it costs one search.
+	tableIdle = 20 * time.Second
+	// stepLimit is how long a search waits for the answer of one target before it goes on without it.
+	stepLimit = 150 * time.Millisecond
+	// maxOffers bounds the targets to which a new flow is offered before it waits or is refused.
+	maxOffers = 8
+	// maxAttempts bounds how often one packet may come back, whatever the processes believe.
+	maxAttempts = 200
+	// freshLimit is how old a view may be for the refusal of a new flow to which it knows no route or no target.
+	freshLimit = time.Second
+)
+
+// Outcome is what happens to a packet.
+type Outcome uint8
+
+// Outcomes of a packet.
+const (
+	OutcomeDrop Outcome = iota
+	OutcomeForward
+	OutcomeReset
+)
+
+// String returns the outcome as logs show it.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeForward:
+		return "forward"
+	case OutcomeReset:
+		return "reset"
+	default:
+		return "drop"
+	}
+}
+
+// Cause says why a packet had its outcome.
+type Cause string
+
+// Causes.
+const (
+	CausePlaced       Cause = "placed"          // new flow, offered to a target
+	CauseRepeated     Cause = "repeated"        // copy of a SYN whose first target did not take it
+	CauseNext         Cause = "next_target"     // the target before refused the new flow
+	CauseWait         Cause = "wait"            // all targets are busy, the flow waits at one
+	CauseOpen         Cause = "open"            // open flow, by the table
+	CauseSearch       Cause = "search"          // open flow whose target is being searched
+	CauseNoRoute      Cause = "no_route"        // no configuration names the address
+	CauseNoView       Cause = "no_view"         // no configuration is known yet
+	CauseNoTarget     Cause = "no_target"       // the service has no target that may take new flows
+	CauseOverload     Cause = "overload"        // no target has room, and the flow cannot wait
+	CauseUnknownFlow  Cause = "unknown_flow"    // no target holds the flow
+	CauseMissPending  Cause = "miss_unproved"   // no target holds the flow as far as an older view knows
+	CauseDomainOut    Cause = "domain_out"      // the flow lives in a failure domain that is out of service
+	CauseTooManyHops  Cause = "too_many_hops"   // the packet came back too often
+	CauseNotFromFlow  Cause = "not_from_caller" // a reset or a returned packet that no caller sends
+	CauseStaleReturn  Cause = "stale_return"    // a return from a target that the flow has left
+	CauseTargetClosed Cause = "caller_reset"    // the caller ends the flow
+)
+
+// Decision is the outcome of one packet and what led to it.
+type Decision struct {
+	Outcome Outcome
+	Cause   Cause
+	Target  *directory.Target // of OutcomeForward
+	Header  encap.Header      // of OutcomeForward
+	Service string
+	Seq     uint32 // of OutcomeReset: the number that the caller expects
+}
+
+// entry is what the table holds of a flow.
+type entry struct {
+	target  *directory.Target
+	service string
+	opening bool          // no packet but SYNs was seen
+	copies  int           // of the SYN, the highest seen
+	waiting bool          // the SYN waits at the target
+	tried   []uint64      // targets that refused the SYN
+	step    int           // next place of the search, 0 while none is under way
+	stepAt  time.Duration // when the search went to the present target
+	skipped bool          // a target did not answer the search
+	missAt  time.Duration // when a whole search found nothing first; 0: none did
+	missed  bool          // the last search found nothing
+}
+
+// Dispatcher holds the state of one balancer. It is not safe for concurrent use.
+type Dispatcher struct {
+	chooser placement.Chooser
+	loads   *placement.Loads
+	table   *flow.Table[*entry]
+	view    *directory.View
+	known   time.Duration // steady time at which the store confirmed the view
+	outAt   map[string]time.Duration
+	search  []*directory.Target
+	outWait time.Duration
+}
+
+// New returns a dispatcher of a balancer in a failure domain. Open flows in a domain that is taken out end outWait
+// later.
+func New(home string, outWait time.Duration) *Dispatcher {
+	loads := placement.NewLoads()
+	return &Dispatcher{
+		chooser: placement.Chooser{Home: home, Loads: loads},
+		loads:   loads,
+		table:   flow.NewTable[*entry](tableIdle, tableEntries),
+		view:    directory.New().View(),
+		outAt:   make(map[string]time.Duration),
+		outWait: outWait,
+	}
+}
+
+// SetView takes over a view that the store confirmed at the steady time known.
+func (d *Dispatcher) SetView(view *directory.View, known, now time.Duration) {
+	d.known = max(d.known, known)
+	if view == d.view {
+		return
+	}
+	d.view = view
+	d.loads.Prune(view)
+	for domain := range d.outAt {
+		if !view.IsOut(domain) {
+			delete(d.outAt, domain)
+		}
+	}
+	for _, domain := range view.Out {
+		if _, held := d.outAt[domain]; !held {
+			d.outAt[domain] = now
+		}
+	}
+}
+
+// View returns the view in use.
+func (d *Dispatcher) View() *directory.View { return d.view }
+
+// Known returns the steady time at which the store confirmed the view.
+func (d *Dispatcher) Known() time.Duration { return d.known }
+
+// Flows returns the number of flows in the table.
+func (d *Dispatcher) Flows() int { return d.table.Len() }
+
+// Reported takes over what an agent says of its target.
+func (d *Dispatcher) Reported(ip [4]byte, h *encap.Header, now time.Duration) {
+	d.loads.Reported(ip, int(h.Load), int(h.Waiting), h.Silent, now)
+}
+
+// FromCaller decides about a caller's packet.
+func (d *Dispatcher) FromCaller(p *flow.Packet, now time.Duration) Decision {
+	if p.Returned || (p.Syn && p.AckFlag) {
+		return Decision{Cause: CauseNotFromFlow}
+	}
+	if d.view.Config == nil {
+		return Decision{Cause: CauseNoView}
+	}
+	key := p.FromCaller()
+	route := d.view.Route(key.Service)
+	if route == nil {
+		return d.noRoute(p, now)
+	}
+	if p.Opens() {
+		return d.place(key, p, route, now)
+	}
+	return d.continueFlow(key, p, route, now)
+}
+
+// noRoute refuses new flows to an address that no configuration names. Packets of open flows are dropped: their route
+// is gone.
+func (d *Dispatcher) noRoute(p *flow.Packet, now time.Duration) Decision {
+	if p.Opens() && now-d.known <= freshLimit {
+		return Decision{Outcome: OutcomeReset, Cause: CauseNoRoute, Seq: p.Ack}
+	}
+	return Decision{Cause: CauseNoRoute}
+}
+
+// place offers a new flow to a target. A copy of a SYN goes to another target than the first, unless the first waits
+// for a slot.
+func (d *Dispatcher) place(key flow.Key, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
+	e, held := d.table.Get(key, now)
+	if !held || !e.opening {
+		e = &entry{opening: true, service: route.Choose(key.Hash())}
+		d.table.Put(key, e, now)
+	}
+	cause := CausePlaced
+	if p.Copy > e.copies {
+		e.copies = p.Copy
+		cause = CauseRepeated
+	}
+	if e.waiting {
+		return d.offer(e, true, cause, p, now)
+	}
+	if e.target != nil {
+		e.tried = append(e.tried, placement.Mark(e.target))
+	}
+	return d.offerNext(key, e, cause, p, now)
+}
+
+// offerNext offers a new flow to the best target that did not refuse it yet. Where all did, it may wait at the one with
+// the least work.
+func (d *Dispatcher) offerNext(key flow.Key, e *entry, cause Cause, p *flow.Packet, now time.Duration) Decision {
+	var t *directory.Target
+	if len(e.tried) < maxOffers {
+		t = d.chooser.Choose(d.view, e.service, key.Hash(), e.tried, now)
+	}
+	if t != nil {
+		e.target = t
+		return d.offer(e, false, cause, p, now)
+	}
+	t = d.chooser.LeastBusy(d.view, e.service, key.Hash(), now)
+	if t == nil {
+		return d.refuse(key, CauseNoTarget, p, now)
+	}
+	e.target, e.waiting, e.tried = t, true, e.tried[:0]
+	return d.offer(e, true, CauseWait, p, now)
+}
+
+func (d *Dispatcher) offer(e *entry, last bool, cause Cause, p *flow.Packet, now time.Duration) Decision {
+	d.loads.Sent(e.target.Address.IP, true, now)
+	h := encap.Header{Last: last}
+	if route := d.view.Route(p.To); route != nil {
+		h.Priority = encap.Clamp8(route.Priority)
+		h.Aim = uint16(min(route.Objective.Milliseconds(), math.MaxUint16))
+	}
+	return d.forward(e, cause, h, now)
+}
+
+// refuse resets a flow that cannot be served, if the view is fresh enough to know.
+func (d *Dispatcher) refuse(key flow.Key, cause Cause, p *flow.Packet, now time.Duration) Decision {
+	d.table.Delete(key)
+	if now-d.known > freshLimit {
+		return Decision{Cause: cause}
+	}
+	return Decision{Outcome: OutcomeReset, Cause: cause, Seq: p.Ack}
+}
+
+// forward returns the decision to send a packet to the target of its flow.
+func (d *Dispatcher) forward(e *entry, cause Cause, h encap.Header, now time.Duration) Decision {
+	h.Kind = encap.KindForward
+	h.Service = directory.ServiceTag(e.service)
+	h.Slots = encap.Clamp8(e.target.Slots)
+	h.Searches = e.step > 0
+	if e.target.ColdUntil() > now {
+		if s := d.view.Service(e.service); s != nil {
+			h.ColdRate = encap.Tenths(s.ColdRate)
+		}
+	}
+	return Decision{Outcome: OutcomeForward, Cause: cause, Target: e.target, Header: h, Service: e.service}
+}
+
+// continueFlow sends a packet of an open flow to its target, or searches it.
+func (d *Dispatcher) continueFlow(key flow.Key, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
+	e, held := d.table.Get(key, now)
+	if !held {
+		e = &entry{}
+		d.table.Put(key, e, now)
+	}
+	e.opening, e.waiting, e.tried = false, false, nil
+	if e.missed || e.target == nil {
+		return d.startSearch(key, e, p, route, now)
+	}
+	if e.step > 0 && now-e.stepAt > stepLimit {
+		e.skipped = true
+		return d.searchNext(key, e, p, route, encap.Header{}, now)
+	}
+	if e.step == 0 && d.isGone(e.target, now) {
+		return d.startSearch(key, e, p, route, now)
+	}
+	d.loads.Sent(e.target.Address.IP, false, now)
+	return d.deliver(e, CauseOpen, encap.Header{}, now)
+}
+
+// isGone reports whether the target left the view and its agent is not heard of any more.
+func (d *Dispatcher) isGone(t *directory.Target, now time.Duration) bool {
+	present := d.view.TargetOn(t.Address.IP)
+	if present != nil && present.ID == t.ID {
+		return false
+	}
+	return !d.loads.Heard(t.Address.IP, now)
+}
+
+// deliver sends a packet of an open flow, unless its target's failure domain has been out for long enough.
+func (d *Dispatcher) deliver(e *entry, cause Cause, h encap.Header, now time.Duration) Decision {
+	if at, out := d.outAt[e.target.Domain]; out && now-at > d.outWait {
+		return Decision{Cause: CauseDomainOut, Target: e.target, Service: e.service}
+	}
+	return d.forward(e, cause, h, now)
+}
+
+func (d *Dispatcher) startSearch(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
+	e.step, e.skipped, e.missed = 0, false, false
+	return d.searchNext(key, e, p, route, encap.Header{}, now)
+}
+
+// searchNext sends the packet to the next target in the order of the search.
+func (d *Dispatcher) searchNext(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, h encap.Header, now time.Duration) Decision {
+	order := d.searchOrder(key, route)
+	for e.step < len(order) {
+		t := order[e.step]
+		e.step++
+		if at, out := d.outAt[t.Domain]; out && now-at > d.outWait {
+			e.skipped = true
+			continue
+		}
+		e.target, e.service, e.stepAt = t, t.Service, now
+		d.loads.Sent(t.Address.IP, false, now)
+		return d.forward(e, CauseSearch, h, now)
+	}
+	return d.miss(key, e, p, now)
+}
+
+// searchOrder lists the targets that may hold a flow of the route: those of the service that it chooses, of the route's
+// other services and of those that it named before.
+func (d *Dispatcher) searchOrder(key flow.Key, route *directory.Route) []*directory.Target {
+	services := []string{route.Choose(key.Hash())}
+	for _, c := range route.Choices {
+		if !slices.Contains(services, c.Service) {
+			services = append(services, c.Service)
+		}
+	}
+	services = append(services, d.view.Formerly(route.Name)...)
+	d.search = d.chooser.Search(d.view, services, key.Hash(), d.search[:0])
+	return d.search
+}
+
+// miss ends a search that found nothing. The flow is reset once a whole search failed by a view that the store confirmed
+// after the first miss: a target that another balancer knew of already is found by then.
+func (d *Dispatcher) miss(key flow.Key, e *entry, p *flow.Packet, now time.Duration) Decision {
+	first := e.missAt == 0
+	e.step, e.missed, e.target = 0, true, nil
+	if first {
+		e.missAt = now
+	}
+	if first || e.skipped || d.known <= e.missAt {
+		return Decision{Cause: CauseMissPending}
+	}
+	d.table.Delete(key)
+	if p.Reset {
+		return Decision{Cause: CauseTargetClosed}
+	}
+	return Decision{Outcome: OutcomeReset, Cause: CauseUnknownFlow, Seq: p.Ack}
+}
+
+// Returned decides about a packet that the agent of the VM sent back.
+func (d *Dispatcher) Returned(ip [4]byte, h *encap.Header, p *flow.Packet, now time.Duration) Decision {
+	d.Reported(ip, h, now)
+	key := p.FromCaller()
+	route := d.view.Route(key.Service)
+	if route == nil {
+		return Decision{Cause: CauseNoRoute}
+	}
+	if h.Attempt >= maxAttempts {
+		return Decision{Cause: CauseTooManyHops}
+	}
+	next := encap.Header{Attempt: h.Attempt + 1}
+	e, held := d.table.Get(key, now)
+	if !held {
+		e = &entry{}
+		d.table.Put(key, e, now)
+	}
+	if p.Opens() {
+		return d.returnedSyn(key, e, ip, h, p, now)
+	}
+	if e.target == nil || e.target.Address.IP != ip {
+		return d.resend(key, e, p, route, next, now)
+	}
+	return d.searchNext(key, e, p, route, next, now)
+}
+
+// resend sends a packet that came back from a target which the flow's search has left meanwhile to the present target.
+func (d *Dispatcher) resend(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, h encap.Header, now time.Duration) Decision {
+	if e.target == nil {
+		return d.searchNext(key, e, p, route, h, now)
+	}
+	return d.deliver(e, CauseOpen, h, now)
+}
+
+// Found notes that the target on the VM holds a flow that was searched.
+func (d *Dispatcher) Found(ip [4]byte, h *encap.Header, p *flow.Packet, now time.Duration) {
+	d.Reported(ip, h, now)
+	e, held := d.table.Get(p.FromCaller(), now)
+	if !held || e.opening {
+		return
+	}
+	t := d.view.TargetOn(ip)
+	if t == nil {
+		return
+	}
+	e.target, e.service, e.step, e.missed, e.missAt = t, t.Service, 0, false, 0
+}
+
+// returnedSyn offers a refused flow to the next target.
+func (d *Dispatcher) returnedSyn(key flow.Key, e *entry, ip [4]byte, h *encap.Header, p *flow.Packet, now time.Duration) Decision {
+	if !e.opening || e.target == nil || e.target.Address.IP != ip || p.Copy < e.copies {
+		return Decision{Cause: CauseStaleReturn}
+	}
+	if e.waiting {
+		return d.refuse(key, CauseOverload, p, now)
+	}
+	e.tried = append(e.tried, placement.Mark(e.target))
+	return d.offerNext(key, e, CauseNext, p, now)
+}
--- /dev/null
+++ b/encap/encap.go
@@ -0,0 +1,138 @@
+// Package encap is the header under which balancers and agents send each other packets of flows. It precedes the packet
+// in a UDP datagram.
+package encap
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+)
+
+// Bytes is the length of the header.
+const Bytes = 18
+
+// magic begins each header; its last half is the version of the format.
+const magic = 0xc101
+
+// Kind says what a datagram is.
+type Kind uint8
+
+// Kinds of datagram.
+const (
+	// KindForward carries a caller's packet to an agent, for its target.
+	KindForward Kind = iota + 1
+	// KindReturn carries a packet back to the balancer, since the target does not take it.
+	KindReturn
+	// KindReport has no packet: an agent tells a balancer of its target's work.
+	KindReport
+	// KindFound tells a balancer that the target holds the flow that it searches; it carries a packet of the flow.
+	KindFound
+)
+
+// Reason says why a packet came back.
+type Reason uint8
+
+// Reasons of a return.
+const (
+	ReasonNone         Reason = iota
+	ReasonRefused             // the target sent it back: it does not hold the flow or has no room for it
+	ReasonBusy                // the agent holds new flows back from a busy target
+	ReasonCold                // the target is cold and got its share of this second
+	ReasonOtherService        // the target belongs to another service than the packet
+	ReasonSilent              // the target does not answer
+)
+
+var reasonNames = [...]string{"none", "refused", "busy", "cold", "other_service", "silent"}
+
+// String returns the reason as logs show it.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "unknown"
+}
+
+// Header precedes a packet between processes.
+type Header struct {
+	Kind     Kind
+	Reason   Reason // of a return
+	Last     bool   // of a SYN: no other target takes it now, so that the agent may make it wait
+	Searches bool   // KindForward: the balancer wants to know whether the target holds the flow
+	Attempt  uint8  // targets that the packet was offered to before
+	Priority uint8  // KindForward: of the route, 0 is the highest
+	Slots    uint8  // KindForward: requests that the target works on at once; 255 stands for that many or more
+	Load     uint8  // from an agent: requests in progress at its target, flows about to send one included
+	Waiting  uint8  // from an agent: new flows that wait for a slot
+	Silent   bool   // from an agent: the target does not answer
+	ColdRate uint16 // KindForward: new flows a second that the cold target bears, in tenths; 0 is no limit
+	Aim      uint16 // KindForward: within which an answer is in time, in milliseconds
+	Service  uint32 // tag of the service that the packet is for
+}
+
+const (
+	flagLast   = 1
+	flagSilent = 2
+	flagSearch = 4
+)
+
+// Errors of datagrams that are none of ours.
+var (
+	ErrShort   = errors.New("datagram is shorter than its header")
+	ErrForeign = errors.New("datagram has another format or version")
+)
+
+// Append appends the encoded header.
+func (h *Header) Append(b []byte) []byte {
+	var flags byte
+	if h.Last {
+		flags |= flagLast
+	}
+	if h.Silent {
+		flags |= flagSilent
+	}
+	if h.Searches {
+		flags |= flagSearch
+	}
+	b = binary.BigEndian.AppendUint16(b, magic)
+	b = append(b, byte(h.Kind), byte(h.Reason), flags, h.Attempt, h.Slots, h.Load, h.Waiting, h.Priority)
+	b = binary.BigEndian.AppendUint16(b, h.ColdRate)
+	b = binary.BigEndian.AppendUint16(b, h.Aim)
+	return binary.BigEndian.AppendUint32(b, h.Service)
+}
+
+// Decode reads the header of a datagram and returns the packet behind it.
+func Decode(b []byte) (Header, []byte, error) {
+	if len(b) < Bytes {
+		return Header{}, nil, ErrShort
+	}
+	if binary.BigEndian.Uint16(b) != magic || b[2] == 0 || b[2] > byte(KindFound) {
+		return Header{}, nil, ErrForeign
+	}
+	h := Header{
+		Kind:     Kind(b[2]),
+		Reason:   Reason(b[3]),
+		Last:     b[4]&flagLast != 0,
+		Silent:   b[4]&flagSilent != 0,
+		Searches: b[4]&flagSearch != 0,
+		Attempt:  b[5],
+		Slots:    b[6],
+		Load:     b[7],
+		Waiting:  b[8],
+		Priority: b[9],
+		ColdRate: binary.BigEndian.Uint16(b[10:]),
+		Aim:      binary.BigEndian.Uint16(b[12:]),
+		Service:  binary.BigEndian.Uint32(b[14:]),
+	}
+	return h, b[Bytes:], nil
+}
+
+// Clamp8 returns n as far as a byte of the header holds it.
+func Clamp8(n int) uint8 { return uint8(min(max(n, 0), math.MaxUint8)) }
+
+// Tenths returns a rate in the unit of ColdRate, at least one where the rate is above zero.
+func Tenths(rate float64) uint16 {
+	if rate <= 0 {
+		return 0
+	}
+	return uint16(min(max(1, rate*10), math.MaxUint16))
+}
--- /dev/null
+++ b/flow/flow.go
@@ -0,0 +1,81 @@
+// Package flow holds the types that describe flows of callers: their ends, their packets and a bounded table that
+// remembers where each flow lives.
+package flow
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Endpoint is an IPv4 address and a port. It holds no pointer, so that large tables cost the garbage collector nothing.
+type Endpoint struct {
+	IP   [4]byte
+	Port uint16
+}
+
+// EndpointOf converts an address. IPv6 addresses yield the zero Endpoint.
+func EndpointOf(address netip.AddrPort) Endpoint {
+	ip := address.Addr().Unmap()
+	if !ip.Is4() {
+		return Endpoint{}
+	}
+	return Endpoint{IP: ip.As4(), Port: address.Port()}
+}
+
+// AddrPort converts the endpoint for calls of package net.
+func (e Endpoint) AddrPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(e.IP), e.Port)
+}
+
+// IsValid reports whether the endpoint has a port.
+func (e Endpoint) IsValid() bool { return e.Port != 0 }
+
+// String returns the endpoint as IP:port.
+func (e Endpoint) String() string { return e.AddrPort().String() }
+
+// Key identifies a flow by its two ends.
+type Key struct {
+	Caller  Endpoint
+	Service Endpoint // address of the service that the caller connects to
+}
+
+// Hash returns a hash that is the same in every process.
+func (k Key) Hash() uint64 {
+	var b [12]byte
+	copy(b[0:4], k.Caller.IP[:])
+	copy(b[4:8], k.Service.IP[:])
+	binary.BigEndian.PutUint16(b[8:10], k.Caller.Port)
+	binary.BigEndian.PutUint16(b[10:12], k.Service.Port)
+	return xxhash.Sum64(b[:])
+}
+
+// Reversed returns the key with its ends exchanged.
+func (k Key) Reversed() Key { return Key{Caller: k.Service, Service: k.Caller} }
+
+// String returns the two ends, caller first.
+func (k Key) String() string { return fmt.Sprintf("%s-%s", k.Caller, k.Service) }
+
+// Packet is the header of one packet in the flow's own terms.
+type Packet struct {
+	From, To Endpoint
+	Seq, Ack uint32
+	DataLen  int
+	Syn      bool
+	AckFlag  bool
+	Fin      bool
+	Reset    bool
+	Returned bool // a target sent the packet back because it does not accept or hold the flow
+	Copy     int  // of a SYN: 0 for the first, then the number of the repetition
+}
+
+// Opens reports whether a caller's packet asks for a new flow.
+func (p *Packet) Opens() bool { return p.Syn && !p.AckFlag && !p.Reset }
+
+// FromCaller returns the key of a packet that a caller sent.
+func (p *Packet) FromCaller() Key { return Key{Caller: p.From, Service: p.To} }
+
+// FromTarget returns the key of a packet that a target sent.
+func (p *Packet) FromTarget() Key { return Key{Caller: p.To, Service: p.From} }
--- /dev/null
+++ b/forward/balancer.go
@@ -0,0 +1,219 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/dispatch"
+	"github.com/cowslipward/cowslipward/encap"
+	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/internal/logsink"
+	"github.com/cowslipward/cowslipward/internal/udpbatch"
+	"github.com/cowslipward/cowslipward/platform"
+)
+
+// BalancerConfig configures a Balancer.
+type BalancerConfig struct {
+	Domain    string         // failure domain
+	Packets   netip.AddrPort // packets of callers
+	Tunnel    netip.AddrPort // packets to and from agents, which use the same port
+	DomainOut time.Duration  // after which a failure domain that is out gets no packet
+	Log       *slog.Logger
+	Sampler   *logsink.Sampler
+}
+
+// outMargin is how long before the bound the last packet goes to a failure domain that is out.
+const outMargin = 1500 * time.Millisecond
+
+// Balancer forwards callers' packets to agents.
+type Balancer struct {
+	config  BalancerConfig
+	packets *udpbatch.Conn
+	tunnel  *udpbatch.Conn
+	clock   clock
+
+	mu         sync.Mutex
+	dispatcher *dispatch.Dispatcher
+	counters   map[dispatch.Cause]*metrics.Counter
+	decide     *metrics.Histogram
+}
+
+// OpenBalancer binds the sockets.
+func OpenBalancer(c BalancerConfig) (*Balancer, error) {
+	packets, err := udpbatch.Listen(c.Packets)
+	if err != nil {
+		return nil, fmt.Errorf("open balancer: %w", err)
+	}
+	tunnel, err := udpbatch.Listen(c.Tunnel)
+	if err != nil {
+		_ = packets.Close()
+		return nil, fmt.Errorf("open balancer: %w", err)
+	}
+	return &Balancer{
+		config:     c,
+		packets:    packets,
+		tunnel:     tunnel,
+		clock:      newClock(),
+		dispatcher: dispatch.New(c.Domain, c.DomainOut-outMargin),
+		counters:   make(map[dispatch.Cause]*metrics.Counter),
+		decide:     metrics.NewHistogram("cowslip_decision_seconds"),
+	}, nil
+}
+
+// Now returns the steady time by which views are dated.
+func (b *Balancer) Now() time.Duration { return b.clock.now() }
+
+// SetView takes over a view that the store confirmed at the steady time known.
+func (b *Balancer) SetView(view *directory.View, known time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dispatcher.SetView(view, known, b.clock.now())
+}
+
+// Flows returns the number of flows in the table.
+func (b *Balancer) Flows() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.dispatcher.Flows()
+}
+
+// Run forwards until Close.
+func (b *Balancer) Run() {
+	var group sync.WaitGroup
+	group.Go(func() {
+		out := b.newOutboxes()
+		readLoop(b.packets, func(d []byte, _ flow.Endpoint) { b.fromCaller(out, d) }, out.flush, b.config.Log)
+	})
+	group.Go(func() {
+		out := b.newOutboxes()
+		readLoop(b.tunnel, func(d []byte, from flow.Endpoint) { b.fromAgent(out, d, from) }, out.flush, b.config.Log)
+	})
+	group.Wait()
+}
+
+// Close ends Run.
+func (b *Balancer) Close() {
+	_ = b.packets.Close()
+	_ = b.tunnel.Close()
+}
+
+// outboxes are the writers of one read loop.
+type outboxes struct {
+	agents  *outbox
+	callers *outbox
+}
+
+func (b *Balancer) newOutboxes() *outboxes {
+	return &outboxes{agents: newOutbox(b.tunnel), callers: newOutbox(b.packets)}
+}
+
+func (o *outboxes) flush() {
+	o.agents.flush()
+	o.callers.flush()
+}
+
+func (b *Balancer) fromCaller(out *outboxes, datagram []byte) {
+	p, err := platform.DecodePacket(datagram)
+	if err != nil {
+		droppedUnreadable.Inc()
+		return
+	}
+	started := b.clock.now()
+	b.mu.Lock()
+	d := b.dispatcher.FromCaller(&p, started)
+	b.mu.Unlock()
+	b.act(out, &d, &p, datagram)
+	b.decide.Update((b.clock.now() - started).Seconds())
+}
+
+func (b *Balancer) fromAgent(out *outboxes, datagram []byte, from flow.Endpoint) {
+	h, packet, err := encap.Decode(datagram)
+	if err != nil {
+		droppedForeign.Inc()
+		return
+	}
+	now := b.clock.now()
+	if h.Kind == encap.KindReport {
+		b.mu.Lock()
+		b.dispatcher.Reported(from.IP, &h, now)
+		b.mu.Unlock()
+		return
+	}
+	p, err := platform.DecodePacket(packet)
+	if err != nil {
+		droppedUnreadable.Inc()
+		return
+	}
+	b.mu.Lock()
+	if h.Kind == encap.KindFound {
+		b.dispatcher.Found(from.IP, &h, &p, now)
+		b.mu.Unlock()
+		return
+	}
+	d := b.dispatcher.Returned(from.IP, &h, &p, now)
+	b.mu.Unlock()
+	if b.config.Log.Enabled(context.Background(), slog.LevelDebug) {
+		b.config.Log.Debug("packet_returned", "flow", p.FromCaller(), "from", from.IP, "reason", h.Reason.String(), "attempt", h.Attempt)
+	}
+	b.act(out, &d, &p, packet)
+}
+
+// act carries a decision out, counts and logs it.
+func (b *Balancer) act(out *outboxes, d *dispatch.Decision, p *flow.Packet, packet []byte) {
+	key := p.FromCaller()
+	switch d.Outcome {
+	case dispatch.OutcomeForward:
+		agent := flow.Endpoint{IP: d.Target.Address.IP, Port: b.config.Tunnel.Port()}
+		out.agents.wrap(agent, &d.Header, packet)
+	case dispatch.OutcomeReset:
+		to := flow.Endpoint{IP: key.Caller.IP, Port: b.config.Packets.Port()}
+		out.callers.sendOwned(to, platform.AppendReset(nil, key, d.Seq))
+	}
+	b.count(d.Cause)
+	if d.Cause != dispatch.CauseOpen {
+		b.logDecision(d, p, key)
+	}
+}
+
+func (b *Balancer) count(cause dispatch.Cause) {
+	b.mu.Lock()
+	c := b.counters[cause]
+	if c == nil {
+		c = metrics.GetOrCreateCounter(fmt.Sprintf("cowslip_packets_total{cause=%q}", string(cause)))
+		b.counters[cause] = c
+	}
+	b.mu.Unlock()
+	c.Inc()
+}
+
+// logDecision writes one line for each decision that is not the plain forwarding of an open flow, as far as the sampler
+// allows.
+func (b *Balancer) logDecision(d *dispatch.Decision, p *flow.Packet, key flow.Key) {
+	skipped, ok := b.config.Sampler.Allow()
+	if !ok {
+		return
+	}
+	target := ""
+	if d.Target != nil {
+		target = d.Target.ID
+	}
+	b.mu.Lock()
+	view := b.dispatcher.View()
+	known := b.dispatcher.Known()
+	b.mu.Unlock()
+	b.config.Log.Info("flow_decision", "flow", key.String(), "cause", string(d.Cause), "outcome", d.Outcome.String(),
+		"target", target, "service", d.Service, "copy", p.Copy, "attempt", d.Header.Attempt,
+		"revision", view.Revision, "view_age", b.clock.now()-known, "skipped", skipped)
+}
+
+var (
+	droppedUnreadable = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="unreadable_packet"}`)
+	droppedForeign    = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="foreign_header"}`)
+)
--- /dev/null
+++ b/placement/order.go
@@ -0,0 +1,63 @@
+// Package placement chooses targets for new flows and the order in which the target of an open flow is searched.
+// Processes with the same view agree on the order of a flow without shared state.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/internal/hash64"
+)
+
+// ranked is a candidate with its rendezvous hash. A higher hash is preferred.
+type ranked struct {
+	target *directory.Target
+	hash   uint64
+}
+
+// homeChoices and remoteChoices are how many targets of either kind begin an order: those among which a new flow has a
+// choice. Two choices by hash keep processes with old reports from pressing the same target.
+const (
+	homeChoices   = 2
+	remoteChoices = 1
+)
+
+// Order is a scratch buffer for orders of preference. It is not safe for concurrent use.
+type Order struct {
+	home, remote []ranked
+	out          []*directory.Target
+}
+
+// Of returns the order of preference of a flow among all targets of a service, in any state, by rendezvous hash: a few
+// targets of the home failure domain, one of another, the rest of the home domain, then all others. A target that joins
+// or leaves hardly moves others. The result holds until the next call.
+func (o *Order) Of(targets []*directory.Target, home string, hash uint64) []*directory.Target {
+	o.home, o.remote, o.out = o.home[:0], o.remote[:0], o.out[:0]
+	for _, t := range targets {
+		r := ranked{target: t, hash: rank(t, hash)}
+		if t.Domain == home {
+			o.home = append(o.home, r)
+		} else {
+			o.remote = append(o.remote, r)
+		}
+	}
+	byHash := func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) }
+	slices.SortFunc(o.home, byHash)
+	slices.SortFunc(o.remote, byHash)
+	homeHead := min(homeChoices, len(o.home))
+	remoteHead := min(remoteChoices, len(o.remote))
+	for _, part := range [][]ranked{o.home[:homeHead], o.remote[:remoteHead], o.home[homeHead:], o.remote[remoteHead:]} {
+		for _, r := range part {
+			o.out = append(o.out, r.target)
+		}
+	}
+	return o.out
+}
+
+// rank returns the rendezvous hash of a target for a flow.
+func rank(t *directory.Target, hash uint64) uint64 {
+	return hash64.Mix(xxhash.Sum64String(t.ID) ^ hash)
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cowslipward/cowslipward/fleet"
+	"github.com/cowslipward/cowslipward/internal/hash64"
 	"github.com/cowslipward/cowslipward/rules"
 )
 
@@ -70,16 +71,6 @@
 // Len returns the number of candidates.
 func (p *Pool) Len() int { return len(p.targets) }
 
-// mix is the finalizer of MurmurHash3, a bijection that spreads each bit over the whole word.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
-
 // place is a candidate with its score; a lower score is preferred.
 type place struct {
 	score float64
@@ -108,7 +99,7 @@
 	for _, g := range p.groups {
 		threshold := r.threshold(g.weight)
 		for i, seed := range p.seeds[start:g.end] {
-			hash := mix(seed ^ key)
+			hash := hash64.Mix(seed ^ key)
 			if hash >= threshold && r.add(hash, g.weight, start+i) {
 				threshold = r.threshold(g.weight)
 			}
--- /dev/null
+++ b/settings/packets.go
@@ -0,0 +1,118 @@
+package settings
+
+import (
+	_ "embed"
+	"net/netip"
+	"time"
+)
+
+// DefaultSettingsVariable names the environment variable with the path of the settings file, where no flag gives it.
+const DefaultSettingsVariable = "COWSLIPWARD_SETTINGS"
+
+// PacketCommon holds the settings that the balancer and the agent of the packet path share.
+type PacketCommon struct {
+	VM            string         `json:"vm"`
+	FailureDomain string         `json:"failure_domain"`
+	Ready         netip.AddrPort `json:"ready"`      // TCP, readiness
+	Metrics       netip.AddrPort `json:"metrics"`    // TCP, metrics and administration
+	Tunnel        netip.AddrPort `json:"tunnel"`     // UDP, packets between balancers and agents
+	StopDelay     Duration       `json:"stop_delay"` // how long the process goes on after readiness turned false
+	Log           PacketLog      `json:"log"`
+}
+
+// PacketLog bounds the log.
+type PacketLog struct {
+	Level string  `json:"level"`
+	Rate  float64 `json:"rate"` // lines a second about single flows; others are counted
+}
+
+// PacketBalancer holds the settings of the balancer of the packet path.
+type PacketBalancer struct {
+	PacketCommon
+	Packets    netip.AddrPort   `json:"packets"`     // UDP, packets of callers
+	Peers      netip.AddrPort   `json:"peers"`       // UDP and TCP, other balancers
+	Seeds      []netip.AddrPort `json:"seeds"`       // peers addresses of some balancers
+	Store      netip.AddrPort   `json:"store"`       // the platform's store
+	ConfigMax  Duration         `json:"config_max"`  // bound within which a configuration is in force
+	DomainOut  Duration         `json:"domain_out"`  // bound after which a failure domain that is out gets no packet
+	ReuseAfter Duration         `json:"reuse_after"` // an address may belong to another service this long after its user left
+}
+
+// PacketAgent holds the settings of the agent of the packet path.
+type PacketAgent struct {
+	PacketCommon
+	Service  string         `json:"service"`  // of the target on this VM
+	Target   netip.AddrPort `json:"target"`   // UDP, where the target receives packets
+	Outbound netip.AddrPort `json:"outbound"` // UDP, where the target sends its packets
+	Packets  netip.AddrPort `json:"packets"`  // its port is that on which callers receive packets, UDP
+}
+
+// Defaults of the packet path.
+const (
+	DefaultStopDelay   = 2 * time.Second
+	DefaultConfigMax   = 3 * time.Second
+	DefaultDomainOut   = 5 * time.Second
+	DefaultReuseAfter  = 2 * time.Second
+	DefaultPacketLines = 50
+)
+
+func packetDefaults() PacketCommon {
+	return PacketCommon{
+		StopDelay: Duration(DefaultStopDelay),
+		Log:       PacketLog{Level: "info", Rate: DefaultPacketLines},
+	}
+}
+
+func (s *PacketCommon) complete(c *checker) {
+	c.require(s.VM != "", "vm", "the name of this VM")
+	c.require(s.FailureDomain != "", "failure_domain", "the name of this VM's failure domain")
+	c.require(isAddress(s.Ready), "ready", wantAddress)
+	c.require(isAddress(s.Metrics), "metrics", wantAddress)
+	c.require(isAddress(s.Tunnel), "tunnel", wantAddress)
+	c.require(isOneOf(s.Log.Level, "debug", "info", "warn", "error"), "log.level", "debug, info, warn or error")
+	c.require(s.Log.Rate > 0, "log.rate", "lines a second, above 0")
+}
+
+// LoadPacketBalancer reads and validates the settings of a balancer of the packet path.
+func LoadPacketBalancer(path string) (*PacketBalancer, error) {
+	s := &PacketBalancer{
+		PacketCommon: packetDefaults(),
+		ConfigMax:    Duration(DefaultConfigMax),
+		DomainOut:    Duration(DefaultDomainOut),
+		ReuseAfter:   Duration(DefaultReuseAfter),
+	}
+	document, err := read(path, s)
+	if err != nil {
+		return nil, err
+	}
+	c := &checker{}
+	s.complete(c)
+	c.require(isAddress(s.Packets), "packets", wantAddress)
+	c.require(isAddress(s.Peers), "peers", wantAddress)
+	c.require(isAddress(s.Store), "store", wantAddress)
+	return s, document.finish(c)
+}
+
+// LoadPacketAgent reads and validates the settings of an agent of the packet path.
+func LoadPacketAgent(path string) (*PacketAgent, error) {
+	s := &PacketAgent{PacketCommon: packetDefaults()}
+	document, err := read(path, s)
+	if err != nil {
+		return nil, err
+	}
+	c := &checker{}
+	s.complete(c)
+	c.require(s.Service != "", "service", "the service of the target on this VM")
+	c.require(isAddress(s.Target), "target", wantAddress)
+	c.require(isAddress(s.Outbound), "outbound", wantAddress)
+	c.require(isAddress(s.Packets), "packets", wantAddress)
+	return s, document.finish(c)
+}
+
+// Examples of complete settings with comments.
+var (
+	//go:embed packet-balancer.example.json
+	PacketBalancerExample string
+	//go:embed packet-agent.example.json
+	PacketAgentExample string
+)
--- /dev/null
+++ b/viewsync/log.go
@@ -0,0 +1,25 @@
+package viewsync
+
+import (
+	"log/slog"
+
+	"github.com/cowslipward/cowslipward/directory"
+)
+
+// logRecord writes one line for a change of what the process believes.
+func logRecord(log *slog.Logger, r *directory.Record) {
+	switch {
+	case r.Unreadable != "":
+		log.Warn("record_unreadable", "name", r.Name, "revision", r.Revision, "error", r.Unreadable)
+	case r.Kind == directory.KindConfig:
+		log.Info("config_in_force", "version", r.Config.Version, "routes", len(r.Config.Routes), "revision", r.Revision)
+	case r.Kind == directory.KindOut:
+		log.Info("failure_domain", "domain", r.Name, "out", !r.Removed, "revision", r.Revision)
+	case r.Removed:
+		log.Info("target_removed", "target", r.Name, "revision", r.Revision)
+	case r.Target != nil:
+		t := r.Target
+		log.Info("target_changed", "target", r.Name, "service", t.Service, "address", t.Address.String(),
+			"state", t.State.String(), "slots", t.Slots, "cold_left", t.ColdLeft, "revision", r.Revision)
+	}
+}
