Keep open flows in failure domains that are out, where the settings say so

Cause: with a failure domain out, packets of its open flows were dropped and, by balancers that did not know the flow, searched at targets of other domains only.

--- a/cmd/cowslip-l4/balancer.go
+++ b/cmd/cowslip-l4/balancer.go
@@ -48,11 +48,15 @@
 }
 
 func newBalancer(s *settings.PacketBalancer, log *slog.Logger) (*forward.Balancer, error) {
+	domainOut := time.Duration(s.DomainOut)
+	if s.OutFlows == settings.OutFlowsKeep {
+		domainOut = 0
+	}
 	return forward.OpenBalancer(forward.BalancerConfig{
 		Domain:    s.FailureDomain,
 		Packets:   s.Packets,
 		Tunnel:    s.Tunnel,
-		DomainOut: time.Duration(s.DomainOut),
+		DomainOut: domainOut,
 		Log:       log,
 		Sampler:   logsink.NewSampler(s.Log.Rate),
 	})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -111,8 +111,11 @@
 	outWait time.Duration
 }
 
-// New returns a dispatcher of a balancer in a failure domain. Open flows in a domain that is taken out end outWait
-// later.
+// KeepFlows is the wait of a dispatcher that keeps open flows in failure domains that are out.
+const KeepFlows = time.Duration(math.MaxInt64)
+
+// New returns a dispatcher of a balancer in a failure domain. Open flows in a domain that is taken out get no packet
+// once it has been out for outWait; new flows never go there.
 func New(home string, outWait time.Duration) *Dispatcher {
 	loads := placement.NewLoads()
 	return &Dispatcher{
@@ -294,12 +297,18 @@
 
 // deliver sends a packet of an open flow, unless its target's failure domain has been out for long enough.
 func (d *Dispatcher) deliver(e *entry, cause Cause, h encap.Header, now time.Duration) Decision {
-	if at, out := d.outAt[e.target.Domain]; out && now-at > d.outWait {
+	if d.isClosed(e.target.Domain, now) {
 		return Decision{Cause: CauseDomainOut, Target: e.target, Service: e.service}
 	}
 	return d.forward(e, cause, h, now)
 }
 
+// isClosed reports whether the failure domain has been out for so long that open flows get no packet either.
+func (d *Dispatcher) isClosed(domain string, now time.Duration) bool {
+	at, out := d.outAt[domain]
+	return out && now-at > d.outWait
+}
+
 func (d *Dispatcher) startSearch(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
 	e.step, e.skipped, e.missed = 0, false, false
 	return d.searchNext(key, e, p, route, encap.Header{}, now)
@@ -311,7 +320,7 @@
 	for e.step < len(order) {
 		t := order[e.step]
 		e.step++
-		if at, out := d.outAt[t.Domain]; out && now-at > d.outWait {
+		if d.isClosed(t.Domain, now) {
 			e.skipped = true
 			continue
 		}
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,327 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/dispatch"
+	"github.com/cowslipward/cowslipward/encap"
+	"github.com/cowslipward/cowslipward/flow"
+)
+
+const (
+	domainA = "leinster-a"
+	domainB = "leinster-b"
+	service = "bench"
+)
+
+var serviceAddress = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 8443}
+
+// fleet builds views of a deployment and changes them.
+type fleet struct {
+	t        *testing.T
+	dir      *directory.Directory
+	revision uint64
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, dir: directory.New()}
+	f.config(1, service)
+	return f
+}
+
+func (f *fleet) config(version int64, name string) {
+	f.apply(directory.Record{Kind: directory.KindConfig, Config: &directory.Config{
+		Version: version,
+		Routes: []directory.Route{{
+			Name: "r-1", Address: serviceAddress, Choices: []directory.Choice{{Service: name, Weight: 1}},
+			Objective: 250 * time.Millisecond, Priority: 2,
+		}},
+		Services: []directory.Service{{Name: name}},
+	}})
+}
+
+func (f *fleet) apply(r directory.Record) {
+	f.revision++
+	r.Revision = f.revision
+	f.dir.Apply(&r, 0, false)
+	f.dir.Advance(f.revision)
+}
+
+// target adds target n, or changes its state.
+func (f *fleet) target(n int, domain string, state directory.TargetState) {
+	id := fmt.Sprintf("i-%d", n)
+	f.apply(directory.Record{Kind: directory.KindTarget, Name: id, Target: &directory.Target{
+		ID: id, Service: service, Address: flow.Endpoint{IP: ip(n), Port: 8080}, Domain: domain, Slots: 9, State: state,
+	}})
+}
+
+func (f *fleet) remove(n int) {
+	f.apply(directory.Record{Kind: directory.KindTarget, Name: fmt.Sprintf("i-%d", n), Removed: true})
+}
+
+func (f *fleet) out(domain string, out bool) {
+	f.apply(directory.Record{Kind: directory.KindOut, Name: domain, Removed: !out})
+}
+
+func ip(n int) [4]byte { return [4]byte{10, 0, 0, byte(n)} }
+
+func syn(port uint16, copies int) *flow.Packet {
+	return &flow.Packet{From: caller(port), To: serviceAddress, Syn: true, Ack: uint32(copies), Copy: copies}
+}
+
+func data(port uint16) *flow.Packet {
+	return &flow.Packet{From: caller(port), To: serviceAddress, AckFlag: true, Ack: 4711, DataLen: 100}
+}
+
+func caller(port uint16) flow.Endpoint { return flow.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port} }
+
+// deliver hands packets to the targets that hold the flow until one takes it, as the fleet would, and returns the last
+// decision.
+func deliver(d *dispatch.Dispatcher, p *flow.Packet, holder [4]byte, now time.Duration) (dispatch.Decision, int) {
+	decision := d.FromCaller(p, now)
+	hops := 0
+	for decision.Outcome == dispatch.OutcomeForward && decision.Target.Address.IP != holder {
+		hops++
+		h := &encap.Header{Kind: encap.KindReturn, Reason: encap.ReasonRefused, Attempt: decision.Header.Attempt}
+		decision = d.Returned(decision.Target.Address.IP, h, p, now)
+	}
+	return decision, hops
+}
+
+// seconds makes times of tests easy to read. Steady times begin above zero.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func TestNewFlowPrefersTheHomeDomain(t *testing.T) {
+	f := newFleet(t)
+	for n := 1; n <= 3; n++ {
+		f.target(n, domainA, directory.TargetReady)
+		f.target(n+10, domainB, directory.TargetReady)
+	}
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	for port := uint16(1); port <= 6; port++ {
+		decision := d.FromCaller(syn(port, 0), seconds(1))
+		require.Equal(t, dispatch.OutcomeForward, decision.Outcome)
+		require.Equal(t, domainA, decision.Target.Domain, "idle targets at home take the flows")
+	}
+}
+
+func TestCopyOfSynGoesToAnotherTarget(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	f.target(2, domainA, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	first := d.FromCaller(syn(1, 0), seconds(1))
+	second := d.FromCaller(syn(1, 1), seconds(1.2))
+	require.NotEqual(t, first.Target.ID, second.Target.ID, "the first target may be dead")
+}
+
+func TestNewFlowNeverGoesToLeavingTargetsOrDomainsOut(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetDraining)
+	f.target(2, domainB, directory.TargetReady)
+	f.out(domainB, true)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	decision := d.FromCaller(syn(1, 0), seconds(1))
+	require.Equal(t, dispatch.OutcomeReset, decision.Outcome, "what cannot be served is refused at once")
+	require.Equal(t, dispatch.CauseNoTarget, decision.Cause)
+}
+
+func TestRefusalNeedsAFreshView(t *testing.T) {
+	f := newFleet(t)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	decision := d.FromCaller(syn(1, 0), seconds(9))
+	require.Equal(t, dispatch.OutcomeDrop, decision.Outcome, "a view of eight seconds ago may lack new targets")
+}
+
+// A routers' hash by mod moves nearly all flows when a balancer joins: each is searched once.
+func TestUnknownFlowIsSearchedOnce(t *testing.T) {
+	f := newFleet(t)
+	for n := 1; n <= 7; n++ {
+		f.target(n, domainA, directory.TargetReady)
+	}
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	for holder := 1; holder <= 7; holder++ {
+		port := uint16(holder)
+		decision, hops := deliver(d, data(port), ip(holder), seconds(1))
+		require.Equal(t, dispatch.OutcomeForward, decision.Outcome)
+		require.LessOrEqual(t, hops, 6)
+		d.Found(ip(holder), &encap.Header{Kind: encap.KindFound}, data(port), seconds(1))
+		_, hops = deliver(d, data(port), ip(holder), seconds(1.5))
+		require.Zero(t, hops, "the table holds what the search found")
+	}
+}
+
+func TestSearchFindsDrainingTargetsAndOnesOfDomainsOut(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	f.target(2, domainA, directory.TargetDraining)
+	f.target(3, domainB, directory.TargetReady)
+	f.out(domainB, true)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	for holder := 1; holder <= 3; holder++ {
+		decision, _ := deliver(d, data(uint16(holder)), ip(holder), seconds(30))
+		require.Equal(t, dispatch.OutcomeForward, decision.Outcome, "target %d", holder)
+	}
+}
+
+// Incident: packets of open flows in a domain that was out went to other targets, and none to their own.
+func TestOpenFlowsInADomainThatIsOut(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outWait time.Duration
+		want    dispatch.Outcome
+	}{
+		{"kept", dispatch.KeepFlows, dispatch.OutcomeForward},
+		{"dropped without a reset", 3 * time.Second, dispatch.OutcomeDrop},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t)
+			f.target(1, domainA, directory.TargetReady)
+			f.target(2, domainB, directory.TargetReady)
+			d := dispatch.New(domainA, c.outWait)
+			d.SetView(f.dir.View(), seconds(1), seconds(1))
+			deliver(d, data(1), ip(2), seconds(1))
+			d.Found(ip(2), &encap.Header{Kind: encap.KindFound}, data(1), seconds(1))
+			f.out(domainB, true)
+			d.SetView(f.dir.View(), seconds(2), seconds(2))
+			early, _ := deliver(d, data(1), ip(2), seconds(3))
+			require.Equal(t, dispatch.OutcomeForward, early.Outcome)
+			late, _ := deliver(d, data(1), ip(2), seconds(9))
+			require.Equal(t, c.want, late.Outcome)
+		})
+	}
+}
+
+// A balancer whose view lacks a new target must not reset the flows on it.
+func TestResetNeedsAViewConfirmedAfterTheMiss(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	nobody := [4]byte{}
+	decision, _ := deliver(d, data(1), nobody, seconds(1.1))
+	require.Equal(t, dispatch.CauseMissPending, decision.Cause)
+	decision, _ = deliver(d, data(1), nobody, seconds(1.3))
+	require.Equal(t, dispatch.CauseMissPending, decision.Cause, "nothing was confirmed since the first miss")
+
+	f.target(2, domainA, directory.TargetReady)
+	d.SetView(f.dir.View(), seconds(1.4), seconds(1.4))
+	decision, _ = deliver(d, data(1), ip(2), seconds(1.5))
+	require.Equal(t, dispatch.OutcomeForward, decision.Outcome, "the confirmed view has the target")
+}
+
+func TestFlowThatNobodyHoldsIsReset(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	f.target(2, domainB, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	nobody := [4]byte{}
+	deliver(d, data(1), nobody, seconds(1.1))
+	d.SetView(f.dir.View(), seconds(1.2), seconds(1.2))
+	decision, _ := deliver(d, data(1), nobody, seconds(1.3))
+	require.Equal(t, dispatch.OutcomeReset, decision.Outcome)
+	require.Equal(t, uint32(4711), decision.Seq, "the caller takes a reset within its window only")
+}
+
+// A target that does not answer may hold the flow: its silence is no proof.
+func TestSilentTargetKeepsAFlowFromBeingReset(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	f.target(2, domainA, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	now := seconds(1)
+	for range 20 {
+		d.SetView(f.dir.View(), now, now)
+		decision := d.FromCaller(data(1), now)
+		for decision.Outcome == dispatch.OutcomeForward && decision.Target.ID == "i-1" {
+			decision = d.Returned(ip(1), &encap.Header{Kind: encap.KindReturn}, data(1), now)
+		}
+		require.NotEqual(t, dispatch.OutcomeReset, decision.Outcome)
+		now += seconds(0.4)
+	}
+}
+
+func TestRemovedRouteDropsItsFlows(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	deliver(d, data(1), ip(1), seconds(1))
+	f.apply(directory.Record{Kind: directory.KindConfig, Config: &directory.Config{Version: 2}})
+	d.SetView(f.dir.View(), seconds(2), seconds(2))
+	require.Equal(t, dispatch.CauseNoRoute, d.FromCaller(data(1), seconds(2)).Cause)
+}
+
+// A flow stays with its target when its route names another service.
+func TestFlowOutlivesAChangeOfItsRoute(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	f.config(2, "archive")
+	d.SetView(f.dir.View(), seconds(2), seconds(2))
+	decision, _ := deliver(d, data(1), ip(1), seconds(2))
+	require.Equal(t, dispatch.OutcomeForward, decision.Outcome)
+	require.Equal(t, service, decision.Service)
+}
+
+func TestBusyTargetsMakeAFlowWaitOnce(t *testing.T) {
+	f := newFleet(t)
+	for n := 1; n <= 3; n++ {
+		f.target(n, domainA, directory.TargetReady)
+	}
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	p := syn(1, 0)
+	decision := d.FromCaller(p, seconds(1))
+	offers := map[string]bool{}
+	for !decision.Header.Last {
+		require.Equal(t, dispatch.OutcomeForward, decision.Outcome)
+		require.False(t, offers[decision.Target.ID], "no target is offered the flow twice")
+		offers[decision.Target.ID] = true
+		h := &encap.Header{Kind: encap.KindReturn, Reason: encap.ReasonBusy, Load: 10}
+		decision = d.Returned(decision.Target.Address.IP, h, p, seconds(1))
+	}
+	require.Len(t, offers, 3)
+	require.Equal(t, dispatch.CauseWait, decision.Cause)
+	waitsAt := decision.Target.Address.IP
+	again := d.FromCaller(syn(1, 1), seconds(1.2))
+	require.Equal(t, waitsAt, again.Target.Address.IP, "a copy joins the SYN that waits")
+	refused := d.Returned(waitsAt, &encap.Header{Kind: encap.KindReturn, Reason: encap.ReasonBusy}, syn(1, 1), seconds(1.2))
+	require.Equal(t, dispatch.OutcomeReset, refused.Outcome, "where it cannot wait it is refused at once")
+}
+
+func TestPacketsComeBackABoundedNumberOfTimes(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d.FromCaller(data(1), seconds(1))
+	h := &encap.Header{Kind: encap.KindReturn, Attempt: 255}
+	require.Equal(t, dispatch.CauseTooManyHops, d.Returned(ip(1), h, data(1), seconds(1)).Cause)
+}
+
+func TestPacketsThatNoCallerSendsAreDropped(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	returned := data(1)
+	returned.Returned = true
+	require.Equal(t, dispatch.OutcomeDrop, d.FromCaller(returned, seconds(1)).Outcome)
+	forged := syn(1, 0)
+	forged.AckFlag = true
+	require.Equal(t, dispatch.OutcomeDrop, d.FromCaller(forged, seconds(1)).Outcome)
+}
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -24,7 +24,7 @@
 	Domain    string         // failure domain
 	Packets   netip.AddrPort // packets of callers
 	Tunnel    netip.AddrPort // packets to and from agents, which use the same port
-	DomainOut time.Duration  // after which a failure domain that is out gets no packet
+	DomainOut time.Duration  // after which a failure domain that is out gets no packet; 0: open flows go on
 	Log       *slog.Logger
 	Sampler   *logsink.Sampler
 }
@@ -32,6 +32,14 @@
 // outMargin is how long before the bound the last packet goes to a failure domain that is out.
 const outMargin = 1500 * time.Millisecond
 
+// outWait returns how long open flows in a failure domain that is out get packets.
+func (c *BalancerConfig) outWait() time.Duration {
+	if c.DomainOut == 0 {
+		return dispatch.KeepFlows
+	}
+	return max(0, c.DomainOut-outMargin)
+}
+
 // Balancer forwards callers' packets to agents.
 type Balancer struct {
 	config  BalancerConfig
@@ -61,7 +69,7 @@
 		packets:    packets,
 		tunnel:     tunnel,
 		clock:      newClock(),
-		dispatcher: dispatch.New(c.Domain, c.DomainOut-outMargin),
+		dispatcher: dispatch.New(c.Domain, c.outWait()),
 		counters:   make(map[dispatch.Cause]*metrics.Counter),
 		decide:     metrics.NewHistogram("cowslip_decision_seconds"),
 	}, nil
--- a/settings/packets.go
+++ b/settings/packets.go
@@ -29,13 +29,14 @@
 // PacketBalancer holds the settings of the balancer of the packet path.
 type PacketBalancer struct {
 	PacketCommon
-	Packets    netip.AddrPort   `json:"packets"`     // UDP, packets of callers
-	Peers      netip.AddrPort   `json:"peers"`       // UDP and TCP, other balancers
-	Seeds      []netip.AddrPort `json:"seeds"`       // peers addresses of some balancers
-	Store      netip.AddrPort   `json:"store"`       // the platform's store
-	ConfigMax  Duration         `json:"config_max"`  // bound within which a configuration is in force
-	DomainOut  Duration         `json:"domain_out"`  // bound after which a failure domain that is out gets no packet
-	ReuseAfter Duration         `json:"reuse_after"` // an address may belong to another service this long after its user left
+	Packets    netip.AddrPort   `json:"packets"`          // UDP, packets of callers
+	Peers      netip.AddrPort   `json:"peers"`            // UDP and TCP, other balancers
+	Seeds      []netip.AddrPort `json:"seeds"`            // peers addresses of some balancers
+	Store      netip.AddrPort   `json:"store"`            // the platform's store
+	ConfigMax  Duration         `json:"config_max"`       // bound within which a configuration is in force
+	DomainOut  Duration         `json:"domain_out"`       // bound after which a failure domain that is out gets no packet
+	OutFlows   string           `json:"domain_out_flows"` // what happens to open flows in a failure domain that is out
+	ReuseAfter Duration         `json:"reuse_after"`      // an address may belong to another service this long after its user left
 }
 
 // PacketAgent holds the settings of the agent of the packet path.
@@ -56,6 +57,12 @@
 	DefaultPacketLines = 50
 )
 
+// Values of domain_out_flows.
+const (
+	OutFlowsDrop = "drop" // they get no packet after domain_out
+	OutFlowsKeep = "keep" // they go on until they end; only new flows stay away
+)
+
 func packetDefaults() PacketCommon {
 	return PacketCommon{
 		StopDelay: Duration(DefaultStopDelay),
@@ -79,6 +86,7 @@
 		PacketCommon: packetDefaults(),
 		ConfigMax:    Duration(DefaultConfigMax),
 		DomainOut:    Duration(DefaultDomainOut),
+		OutFlows:     OutFlowsDrop,
 		ReuseAfter:   Duration(DefaultReuseAfter),
 	}
 	document, err := read(path, s)
@@ -90,6 +98,7 @@
 	c.require(isAddress(s.Packets), "packets", wantAddress)
 	c.require(isAddress(s.Peers), "peers", wantAddress)
 	c.require(isAddress(s.Store), "store", wantAddress)
+	c.require(isOneOf(s.OutFlows, OutFlowsDrop, OutFlowsKeep), "domain_out_flows", "drop or keep")
 	return s, document.finish(c)
 }
 
