Let one balancer read the store for all

Change: a balancer reads the whole store once at its start. After that the one with the lowest address watches and sends what changed to its peers by datagram, with the changes of the last 700 ms repeated; what does not fit is fetched over TCP. A balancer that hears nothing for 0.9 to 1.3 s reads the store itself, so that a dead, cut or refused reader is replaced within the bounds. Ruled out: a reader a failure domain (three times the calls).

--- a/cmd/cowslip-l4/balancer.go
+++ b/cmd/cowslip-l4/balancer.go
@@ -35,7 +35,7 @@
 		fx.NopLogger,
 		fx.Supply(s, &s.PacketCommon, log, ready),
 		fx.Provide(newBalancer, newSyncer),
-		fx.Invoke(startBalancer, serveCommon),
+		fx.Invoke(startBalancer, serveCommon, servePeers),
 	)
 	reload := func() {
 		if _, err := settings.LoadPacketBalancer(file); err != nil {
@@ -63,8 +63,7 @@
 }
 
 // newSyncer returns the syncer that feeds the balancer. The process takes packets once it knows a configuration.
-func newSyncer(s *settings.PacketBalancer, b *forward.Balancer, ready *readiness, log *slog.Logger) *viewsync.Syncer {
-	store := platform.NewStore(s.Store, s.Peers.Addr(), storeDialTimeout)
+func newSyncer(s *settings.PacketBalancer, b *forward.Balancer, ready *readiness, log *slog.Logger) (*viewsync.Syncer, error) {
 	publish := func(view *directory.View, known time.Duration) {
 		b.SetView(view, known)
 		if view.Config != nil && ready.first.CompareAndSwap(false, true) {
@@ -72,7 +71,18 @@
 			log.Info("ready", "version", view.Config.Version, "targets", view.TargetCount(), "since_start", b.Now())
 		}
 	}
-	return viewsync.New(store, b.Now, publish, log)
+	return viewsync.Open(viewsync.Config{
+		Store:   platform.NewStore(s.Store, s.Peers.Addr(), storeDialTimeout),
+		Self:    s.Peers,
+		Seeds:   s.Seeds,
+		Now:     b.Now,
+		Publish: publish,
+		Log:     log,
+	})
+}
+
+func servePeers(lc fx.Lifecycle, s *settings.PacketBalancer, v *viewsync.Syncer, log *slog.Logger) error {
+	return serve(lc, s.Peers, v.Handler(), log)
 }
 
 func startBalancer(lc fx.Lifecycle, s *settings.PacketBalancer, b *forward.Balancer, v *viewsync.Syncer, log *slog.Logger) {
@@ -80,6 +90,7 @@
 	lc.Append(fx.StartStopHook(
 		func() {
 			go v.Run(ctx)
+			go v.RunPeers(ctx)
 			go b.Run()
 			log.Info("started", "packets", s.Packets, "tunnel", s.Tunnel, "peers", s.Peers, "store", s.Store)
 		},
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -97,6 +97,7 @@
 	Name       string // ID of the target, failure domain, or empty
 	Revision   uint64 // the store's revision of the last change
 	Removed    bool
+	Lapse      bool    `json:",omitempty"` // removed while the store was away: it may come back at once
 	Unreadable string  `json:",omitempty"` // why the record could not be read
 	Config     *Config `json:",omitempty"`
 	Target     *Target `json:",omitempty"`
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -54,14 +55,13 @@
 	}
 }
 
-// Apply merges one record and reports whether it changed anything. An older record than the one held is ignored. With
-// away set, the store returned from an outage a moment ago, so that a removal counts as a lapse that may be undone.
-func (d *Directory) Apply(r *Record, now time.Duration, away bool) bool {
+// Apply merges one record and reports whether it changed anything. An older record than the one held is ignored.
+func (d *Directory) Apply(r *Record, now time.Duration) bool {
 	switch r.Kind {
 	case KindConfig:
 		return d.applyConfig(r)
 	case KindTarget:
-		return d.applyTarget(r, now, away)
+		return d.applyTarget(r, now)
 	case KindOut:
 		return d.applyOut(r)
 	default:
@@ -121,13 +121,13 @@
 	return slices.ContainsFunc(r.Choices, func(c Choice) bool { return c.Service == service })
 }
 
-func (d *Directory) applyTarget(r *Record, now time.Duration, away bool) bool {
-	key := "target/" + r.Name
+func (d *Directory) applyTarget(r *Record, now time.Duration) bool {
+	key := targetKey + r.Name
 	if r.Revision <= d.revs[key] {
 		return false
 	}
 	held := d.targets[r.Name]
-	if r.Removed && away && held != nil {
+	if r.Removed && r.Lapse && held != nil {
 		if held.Lapsed != 0 {
 			return false
 		}
@@ -149,7 +149,7 @@
 }
 
 func (d *Directory) applyOut(r *Record) bool {
-	key := "out/" + r.Name
+	key := outKey + r.Name
 	if r.Revision <= d.revs[key] {
 		return false
 	}
@@ -164,25 +164,13 @@
 	return changed
 }
 
-// Replace merges a whole copy of the store at a revision: what it lacks has been removed. It returns the records that
-// changed something.
-func (d *Directory) Replace(records []Record, revision uint64, now time.Duration, away bool) []Record {
-	var changed []Record
+// Missing returns removals for what a whole copy of the store at a revision lacks.
+func (d *Directory) Missing(records []Record, revision uint64) []Record {
 	present := make(map[string]bool, len(records))
 	for i := range records {
-		r := &records[i]
-		present[recordKey(r.Kind, r.Name)] = true
-		if d.Apply(r, now, away) {
-			changed = append(changed, *r)
-		}
-	}
-	for _, r := range d.missing(present, revision) {
-		if d.Apply(&r, now, away) {
-			changed = append(changed, r)
-		}
+		present[recordKey(records[i].Kind, records[i].Name)] = true
 	}
-	d.Advance(revision)
-	return changed
+	return d.missing(present, revision)
 }
 
 // missing returns removals for what a whole copy of the store lacks.
@@ -201,11 +189,17 @@
 	return gone
 }
 
+// Prefixes of the keys under which revisions are kept.
+const (
+	outKey    = "out/"
+	targetKey = "target/"
+)
+
 func recordKey(kind Kind, name string) string {
 	if kind == KindOut {
-		return "out/" + name
+		return outKey + name
 	}
-	return "target/" + name
+	return targetKey + name
 }
 
 // DropLapsed removes targets whose entries lapsed during an outage and did not come back in time. It returns their IDs.
@@ -221,21 +215,35 @@
 	return gone
 }
 
-// Records returns everything known, for a peer.
-func (d *Directory) Records() []Record {
+// Since returns what changed after a revision and still holds, removals included, as of now.
+func (d *Directory) Since(revision uint64, now time.Duration) []Record {
 	var all []Record
-	if d.config != nil {
+	if d.config != nil && d.configRev > revision {
 		all = append(all, Record{Kind: KindConfig, Revision: d.configRev, Config: d.config})
 	}
-	for id, t := range d.targets {
-		all = append(all, Record{Kind: KindTarget, Name: id, Revision: d.revs[recordKey(KindTarget, id)], Target: t})
-	}
-	for domain := range d.out {
-		all = append(all, Record{Kind: KindOut, Name: domain, Revision: d.revs[recordKey(KindOut, domain)]})
+	for key, rev := range d.revs {
+		if rev > revision {
+			all = append(all, d.record(key, rev, now))
+		}
 	}
 	return all
 }
 
+// record returns the last record of a target or a failure domain.
+func (d *Directory) record(key string, revision uint64, now time.Duration) Record {
+	if domain, isOut := strings.CutPrefix(key, outKey); isOut {
+		return Record{Kind: KindOut, Name: domain, Revision: revision, Removed: !d.out[domain]}
+	}
+	id := strings.TrimPrefix(key, targetKey)
+	held := d.targets[id]
+	if held == nil {
+		return Record{Kind: KindTarget, Name: id, Revision: revision, Removed: true}
+	}
+	copied := *held
+	copied.ColdLeft = max(0, held.ColdUntil()-now)
+	return Record{Kind: KindTarget, Name: id, Revision: revision, Target: &copied}
+}
+
 func cloneLists(m map[string][]string) map[string][]string {
 	clone := make(map[string][]string, len(m))
 	for key, list := range m {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -48,7 +48,7 @@
 func (f *fleet) apply(r directory.Record) {
 	f.revision++
 	r.Revision = f.revision
-	f.dir.Apply(&r, 0, false)
+	f.dir.Apply(&r, 0)
 	f.dir.Advance(f.revision)
 }
 
--- /dev/null
+++ b/viewsync/read.go
@@ -0,0 +1,206 @@
+package viewsync
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/platform"
+)
+
+const (
+	// readTimeout bounds a call of the store that does not wait.
+	readTimeout = 400 * time.Millisecond
+	// watchWait is how long a watch waits for a change.
+	watchWait = 500 * time.Millisecond
+	// watchPause is the time between two watches, in which changes gather.
+	watchPause = 100 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed call.
+	retryMin = 100 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+	// confirmPause is the least time between two confirmations that were asked for.
+	confirmPause = 150 * time.Millisecond
+)
+
+// Run keeps the view current until the context ends.
+func (s *Syncer) Run(ctx context.Context) {
+	s.start(ctx)
+	go s.runConfirm(ctx)
+	for ctx.Err() == nil {
+		if wait := s.untilRead(); wait > 0 {
+			s.waitForChange(ctx, wait)
+			continue
+		}
+		s.step(ctx)
+	}
+}
+
+// start reads the whole store. Where it is out of reach, a peer's view serves until it returns.
+func (s *Syncer) start(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := s.readWhole(ctx)
+		if err == nil {
+			return
+		}
+		s.noteFailure(err)
+		if s.fetchFromAnyPeer(ctx) {
+			return
+		}
+		sleep(ctx, retryMin+rand.N(retryMax-retryMin))
+	}
+}
+
+// untilRead returns how long the process may still rely on its peers.
+func (s *Syncer) untilRead() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reading {
+		return 0
+	}
+	return s.known + s.patience - s.config.Now()
+}
+
+func (s *Syncer) waitForChange(ctx context.Context, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.changed:
+	}
+}
+
+// step makes one call of the store and passes the answer on.
+func (s *Syncer) step(ctx context.Context) {
+	begin := s.config.Now()
+	err := s.watch(ctx, watchWait)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		s.config.Log.Warn("store_history_gone", "revision", s.revision())
+		err = s.readWhole(ctx)
+	}
+	if err != nil {
+		s.noteFailure(err)
+		sleep(ctx, retryMin+rand.N(retryMax-retryMin))
+		return
+	}
+	s.takeOver(begin)
+	s.push()
+	sleep(ctx, watchPause)
+}
+
+// takeOver makes the process the reader, unless it yielded to another one during its call.
+func (s *Syncer) takeOver(begin time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.yieldedAt < begin {
+		s.setReading(true)
+	}
+}
+
+// setReading notes whether the process reads for its peers. The caller holds the lock.
+func (s *Syncer) setReading(reading bool) {
+	if s.reading != reading {
+		s.reading = reading
+		s.config.Log.Info("reading_for_peers", "reading", reading, "peers", len(s.members.live(s.config.Now())))
+	}
+}
+
+func (s *Syncer) revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Revision()
+}
+
+// readWhole reads all records.
+func (s *Syncer) readWhole(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	asked := s.config.Now()
+	answer, err := s.config.Store.Read(ctx)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := append(answer.Records, s.directory.Missing(answer.Records, answer.Revision)...)
+	s.noteAnswer(records, answer.Revision, asked)
+	return nil
+}
+
+// watch waits for changes. A watch that ends without one confirms the view as of its end.
+func (s *Syncer) watch(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	asked := s.config.Now()
+	answer, err := s.config.Store.Watch(ctx, s.revision(), wait)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if elapsed := s.config.Now() - asked; len(answer.Records) == 0 && answer.Foreign == 0 && elapsed >= wait {
+		asked += wait
+	}
+	s.noteAnswer(answer.Records, answer.Revision, asked)
+	return nil
+}
+
+// noteAnswer takes over an answer of the store. The caller holds the lock.
+func (s *Syncer) noteAnswer(records []directory.Record, revision uint64, known time.Duration) {
+	now := s.config.Now()
+	if s.readAt != 0 && now-max(s.readAt, s.known) > awayLimit {
+		s.graceTill = now + returnGrace
+	}
+	if s.failing {
+		s.failing = false
+		s.config.Log.Info("store_regained", "away", now-s.readAt, "revision", revision)
+	}
+	s.readAt = now
+	if now < s.graceTill {
+		markLapses(records)
+	}
+	s.merge(records, revision, known)
+}
+
+// markLapses notes that entries which are missing may come back, since the store was away.
+func markLapses(records []directory.Record) {
+	for i := range records {
+		records[i].Lapse = records[i].Removed && records[i].Kind == directory.KindTarget
+	}
+}
+
+func (s *Syncer) noteFailure(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setReading(false)
+	if !s.failing {
+		s.failing = true
+		s.config.Log.Warn("store_lost", "error", err, "view_age", s.config.Now()-s.known)
+	}
+}
+
+// runConfirm makes the confirmations that were asked for.
+func (s *Syncer) runConfirm(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.confirm:
+		}
+		if err := s.watch(ctx, time.Millisecond); err != nil {
+			s.config.Log.Warn("confirmation_failed", "error", err, "view_age", s.Age())
+		}
+		sleep(ctx, confirmPause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -1,11 +1,15 @@
-// Package viewsync keeps a balancer's view of the deployment current.
+// Package viewsync keeps a balancer's view of the deployment current. One balancer at a time reads the store and passes
+// what it learns on to the others; one that hears nothing for a while reads the store itself.
 package viewsync
 
 import (
-	"context"
-	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cowslipward/cowslipward/directory"
@@ -13,135 +17,150 @@
 )
 
 const (
-	// readTimeout bounds a read of the whole store.
-	readTimeout = 400 * time.Millisecond
-	// watchWait is how long a watch waits for a change.
-	watchWait = 800 * time.Millisecond
-	// watchPause is the time between two watches, in which changes gather.
-	watchPause = 150 * time.Millisecond
-	// retryMin and retryMax bound the pause after a failed call.
-	retryMin = 100 * time.Millisecond
-	retryMax = 400 * time.Millisecond
+	// patience is how old a view may get before the process reads the store itself. It is above the longest pause
+	// between two updates of a reader, and a part of it is random so that one process takes over rather than all.
+	patience       = 900 * time.Millisecond
+	patienceJitter = 400 * time.Millisecond
 	// awayLimit is how long the store must have been out of reach for lapsed entries to be given time to come back.
 	awayLimit = 2 * time.Second
 	// returnGrace is how long after the return of the store a removal counts as a lapse.
 	returnGrace = 2 * time.Second
+	// transitMargin is taken off the date of a view that a peer sent, for the way of its datagram.
+	transitMargin = 5 * time.Millisecond
 )
 
 // Publish takes a view that the store confirmed at the steady time known.
 type Publish func(view *directory.View, known time.Duration)
 
-// Syncer reads the store and publishes views.
+// Config configures a Syncer.
+type Config struct {
+	Store   *platform.Store
+	Self    netip.AddrPort // of this process among its peers, UDP and TCP
+	Seeds   []netip.AddrPort
+	Now     func() time.Duration // steady clock by which views are dated
+	Publish Publish
+	Log     *slog.Logger
+}
+
+// Syncer holds the view of one balancer.
 type Syncer struct {
-	store     *platform.Store
-	now       func() time.Duration
-	publish   Publish
-	log       *slog.Logger
+	config   Config
+	socket   *net.UDPConn
+	client   *http.Client
+	patience time.Duration
+	confirm  chan struct{}
+	changed  chan struct{} // signals the loop that the view became fresher or that it has to read
+
+	mu        sync.Mutex
 	directory *directory.Directory
-	known     time.Duration
+	known     time.Duration // the store confirmed the view at this time
+	readAt    time.Duration // of the last answer that the store gave this process
 	graceTill time.Duration
+	reading   bool
+	yieldedAt time.Duration // when the process last left the reading to a peer
 	failing   bool
+	members   *members
+	recent    []mark
 }
 
-// New returns a syncer. The function now is the steady clock by which views are dated.
-func New(store *platform.Store, now func() time.Duration, publish Publish, log *slog.Logger) *Syncer {
-	return &Syncer{store: store, now: now, publish: publish, log: log, directory: directory.New()}
+// mark remembers when a revision was reached, so that updates repeat what peers may have missed.
+type mark struct {
+	revision uint64
+	at       time.Duration
 }
 
-// Run keeps the view current until the context ends.
-func (s *Syncer) Run(ctx context.Context) {
-	whole := true
-	for ctx.Err() == nil {
-		asked := s.now()
-		err := s.read(ctx, whole)
-		if errors.Is(err, platform.ErrHistoryGone) {
-			s.log.Warn("store_history_gone", "revision", s.directory.Revision())
-			whole = true
-			continue
-		}
-		if err != nil {
-			s.noteFailure(err)
-			sleep(ctx, retryMin+rand.N(retryMax-retryMin))
-			continue
-		}
-		whole = false
-		s.noteSuccess(asked)
-		sleep(ctx, watchPause)
+// Open returns a syncer and binds its UDP socket. The handler of fetches is to be served on the same port, TCP.
+func Open(c Config) (*Syncer, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(c.Self))
+	if err != nil {
+		return nil, fmt.Errorf("bind address for peers: %w", err)
 	}
+	return &Syncer{
+		config:    c,
+		socket:    socket,
+		client:    newClient(c.Self.Addr()),
+		patience:  patience + rand.N(patienceJitter),
+		confirm:   make(chan struct{}, 1),
+		changed:   make(chan struct{}, 1),
+		directory: directory.New(),
+		members:   newMembers(c.Self, c.Seeds),
+	}, nil
 }
 
-func (s *Syncer) read(ctx context.Context, whole bool) error {
-	if whole {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		answer, err := s.store.Read(ctx)
-		if err != nil {
-			return err
-		}
-		s.noteRecords(s.directory.Replace(answer.Records, answer.Revision, s.now(), s.isReturning()))
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
-	defer cancel()
-	answer, err := s.store.Watch(ctx, s.directory.Revision(), watchWait)
-	if err != nil {
-		return err
+// Confirm asks for a confirmation of the view by the store soon.
+func (s *Syncer) Confirm() {
+	select {
+	case s.confirm <- struct{}{}:
+	default:
 	}
-	s.apply(answer)
-	return nil
 }
 
-func (s *Syncer) apply(answer *platform.Answer) {
-	var changed []directory.Record
-	for i := range answer.Records {
-		if s.directory.Apply(&answer.Records[i], s.now(), s.isReturning()) {
-			changed = append(changed, answer.Records[i])
-		}
-	}
-	s.directory.Advance(answer.Revision)
-	s.noteRecords(changed)
+// SetSeeds replaces the addresses at which peers are looked for.
+func (s *Syncer) SetSeeds(seeds []netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members.seeds = seeds
 }
 
-// isReturning reports whether the store came back a moment ago, so that entries may have lapsed meanwhile.
-func (s *Syncer) isReturning() bool {
-	now := s.now()
-	if s.known != 0 && now-s.known > awayLimit {
-		s.graceTill = now + returnGrace
-	}
-	return now < s.graceTill
+// Reading reports whether this process reads the store for its peers, and Peers how many it knows.
+func (s *Syncer) Reading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reading
+}
+
+// Peers returns the number of peers that were heard of lately.
+func (s *Syncer) Peers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.members.live(s.config.Now()))
 }
 
-func (s *Syncer) noteSuccess(asked time.Duration) {
-	if s.failing {
-		s.failing = false
-		s.log.Info("store_regained", "away", s.now()-s.known, "revision", s.directory.Revision())
+// Age returns how long ago the store confirmed the view.
+func (s *Syncer) Age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config.Now() - s.known
+}
+
+// merge applies records, logs what they change and publishes the view. The caller holds the lock.
+func (s *Syncer) merge(records []directory.Record, revision uint64, known time.Duration) {
+	now := s.config.Now()
+	for i := range records {
+		if s.directory.Apply(&records[i], now) {
+			logRecord(s.config.Log, &records[i])
+		}
 	}
-	s.known = max(s.known, asked)
-	for _, id := range s.directory.DropLapsed(s.now()) {
-		s.log.Info("target_lapsed", "target", id)
+	s.directory.Advance(revision)
+	for _, id := range s.directory.DropLapsed(now) {
+		s.config.Log.Info("target_lapsed", "target", id)
 	}
-	s.publish(s.directory.View(), s.known)
+	s.known = max(s.known, known)
+	s.remember(revision, now)
+	s.config.Publish(s.directory.View(), s.known)
 }
 
-func (s *Syncer) noteFailure(err error) {
-	if !s.failing {
-		s.failing = true
-		s.log.Warn("store_lost", "error", err, "view_age", s.now()-s.known)
+// remember notes when a revision was reached.
+func (s *Syncer) remember(revision uint64, now time.Duration) {
+	if n := len(s.recent); n == 0 || s.recent[n-1].revision < revision {
+		s.recent = append(s.recent, mark{revision: revision, at: now})
+	}
+	for len(s.recent) > 1 && now-s.recent[1].at > repeatFor {
+		s.recent = s.recent[1:]
 	}
-	s.directory.DropLapsed(s.now())
 }
 
-func (s *Syncer) noteRecords(changed []directory.Record) {
-	for i := range changed {
-		logRecord(s.log, &changed[i])
+// base returns the revision after which updates repeat what changed. The caller holds the lock.
+func (s *Syncer) base() uint64 {
+	if len(s.recent) == 0 {
+		return 0
 	}
+	return s.recent[0].revision
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
+func (s *Syncer) notify() {
 	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	case s.changed <- struct{}{}:
+	default:
 	}
 }
