Hold packets that a fresher view decides about

Their flows had ended with their targets; the first packet after the restart found no holder, a reset needs a view that the store confirmed after that, and the caller repeats its packet only after up to 1.6 s. Change: a miss asks the store for a confirmation at once and the packet is decided about again with it; packets that arrive before the first view are held too.

--- a/cmd/cowslip-l4/balancer.go
+++ b/cmd/cowslip-l4/balancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -33,7 +34,7 @@
 	ready := &readiness{}
 	app := fx.New(
 		fx.NopLogger,
-		fx.Supply(s, &s.PacketCommon, log, ready),
+		fx.Supply(s, &s.PacketCommon, log, ready, &confirmation{}),
 		fx.Provide(newBalancer, newSyncer),
 		fx.Invoke(startBalancer, serveCommon, servePeers),
 	)
@@ -47,7 +48,16 @@
 	return runApp(app, &s.PacketCommon, ready, reload, log)
 }
 
-func newBalancer(s *settings.PacketBalancer, log *slog.Logger) (*forward.Balancer, error) {
+// confirmation leads a balancer's wish for a confirmed view to its syncer, which is made after it.
+type confirmation struct{ syncer atomic.Pointer[viewsync.Syncer] }
+
+func (c *confirmation) ask() {
+	if v := c.syncer.Load(); v != nil {
+		v.Confirm()
+	}
+}
+
+func newBalancer(s *settings.PacketBalancer, confirm *confirmation, log *slog.Logger) (*forward.Balancer, error) {
 	domainOut := time.Duration(s.DomainOut)
 	if s.OutFlows == settings.OutFlowsKeep {
 		domainOut = 0
@@ -59,11 +69,12 @@
 		DomainOut: domainOut,
 		Log:       log,
 		Sampler:   logsink.NewSampler(s.Log.Rate),
+		Confirm:   confirm.ask,
 	})
 }
 
 // newSyncer returns the syncer that feeds the balancer. The process takes packets once it knows a configuration.
-func newSyncer(s *settings.PacketBalancer, b *forward.Balancer, ready *readiness, log *slog.Logger) (*viewsync.Syncer, error) {
+func newSyncer(s *settings.PacketBalancer, b *forward.Balancer, ready *readiness, confirm *confirmation, log *slog.Logger) (*viewsync.Syncer, error) {
 	publish := func(view *directory.View, known time.Duration) {
 		b.SetView(view, known)
 		if view.Config != nil && ready.first.CompareAndSwap(false, true) {
@@ -71,7 +82,7 @@
 			log.Info("ready", "version", view.Config.Version, "targets", view.TargetCount(), "since_start", b.Now())
 		}
 	}
-	return viewsync.Open(viewsync.Config{
+	v, err := viewsync.Open(viewsync.Config{
 		Store:   platform.NewStore(s.Store, s.Peers.Addr(), storeDialTimeout),
 		Self:    s.Peers,
 		Seeds:   s.Seeds,
@@ -79,6 +90,11 @@
 		Publish: publish,
 		Log:     log,
 	})
+	if err != nil {
+		return nil, err
+	}
+	confirm.syncer.Store(v)
+	return v, nil
 }
 
 func servePeers(lc fx.Lifecycle, s *settings.PacketBalancer, v *viewsync.Syncer, log *slog.Logger) error {
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -27,6 +27,8 @@
 	DomainOut time.Duration  // after which a failure domain that is out gets no packet; 0: open flows go on
 	Log       *slog.Logger
 	Sampler   *logsink.Sampler
+	// Confirm asks for a view that the store confirms now. It does not block.
+	Confirm func()
 }
 
 // outMargin is how long before the bound the last packet goes to a failure domain that is out.
@@ -49,6 +51,8 @@
 
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
+	held       heldPackets
+	heldOut    *outboxes
 	counters   map[dispatch.Cause]*metrics.Counter
 	decide     *metrics.Histogram
 }
@@ -64,7 +68,7 @@
 		_ = packets.Close()
 		return nil, fmt.Errorf("open balancer: %w", err)
 	}
-	return &Balancer{
+	b := &Balancer{
 		config:     c,
 		packets:    packets,
 		tunnel:     tunnel,
@@ -72,17 +76,51 @@
 		dispatcher: dispatch.New(c.Domain, c.outWait()),
 		counters:   make(map[dispatch.Cause]*metrics.Counter),
 		decide:     metrics.NewHistogram("cowslip_decision_seconds"),
-	}, nil
+	}
+	b.heldOut = b.newOutboxes()
+	return b, nil
 }
 
 // Now returns the steady time by which views are dated.
 func (b *Balancer) Now() time.Duration { return b.clock.now() }
 
-// SetView takes over a view that the store confirmed at the steady time known.
+// SetView takes over a view that the store confirmed at the steady time known. Packets that were held until then are
+// decided about once more.
 func (b *Balancer) SetView(view *directory.View, known time.Duration) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.dispatcher.SetView(view, known, b.clock.now())
+	due := b.held.due(view.Config != nil, known)
+	b.mu.Unlock()
+	for _, packet := range due {
+		b.decideAgain(packet)
+	}
+	b.heldOut.flush()
+}
+
+// decideAgain decides about a packet that was held. It is not held a second time.
+func (b *Balancer) decideAgain(packet []byte) {
+	p, err := platform.DecodePacket(packet)
+	if err != nil {
+		return // it was readable when it was held
+	}
+	b.mu.Lock()
+	d := b.dispatcher.FromCaller(&p, b.clock.now())
+	b.mu.Unlock()
+	b.act(b.heldOut, &d, &p, packet)
+}
+
+// hold keeps a packet until the view allows a decision.
+func (b *Balancer) hold(d *dispatch.Decision, p *flow.Packet, packet []byte) {
+	now := b.clock.now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch d.Cause {
+	case dispatch.CauseNoView:
+		b.held.untilView(packet)
+	case dispatch.CauseMissPending:
+		b.held.untilConfirmed(p.FromCaller(), packet, now)
+		b.config.Confirm()
+	}
 }
 
 // Flows returns the number of flows in the table.
@@ -138,6 +176,7 @@
 	d := b.dispatcher.FromCaller(&p, started)
 	b.mu.Unlock()
 	b.act(out, &d, &p, datagram)
+	b.hold(&d, &p, datagram)
 	b.decide.Update((b.clock.now() - started).Seconds())
 }
 
@@ -171,6 +210,7 @@
 		b.config.Log.Debug("packet_returned", "flow", p.FromCaller(), "from", from.IP, "reason", h.Reason.String(), "attempt", h.Attempt)
 	}
 	b.act(out, &d, &p, packet)
+	b.hold(&d, &p, packet)
 }
 
 // act carries a decision out, counts and logs it.
