Search open flows along paths over agents, and ask one balancer for confirmations

Cause: after the loss of power of a whole deployment each open flow is searched in vain; on a grown deployment a balancer of 0.06 cores sent and got back some 45 packets for each. Change: the balancer sends a packet along paths of six targets, agents pass it on to the next, and the holder's agent or the end of the path answers the balancer. Later searches of the same flow use shorter paths, so that a silent target hides no other. Packets that arrive during a search wait for it. A target that refused a flow for lack of slots is not offered another for 30 ms. Confirmations are asked of the reader first.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cowslipward/cowslipward/directory"
@@ -18,8 +17,8 @@
 	tableEntries = 200_000
 	// tableIdle is how long an entry stays without a packet, at least. Losing it costs one search.
 	tableIdle = 20 * time.Second
-	// stepLimit is how long a search waits for the answer of one target before it goes on without it.
-	stepLimit = 150 * time.Millisecond
+	// searchLimit is how long a search waits for answers before the next packet of the flow begins another.
+	searchLimit = 180 * time.Millisecond
 	// maxOffers bounds the targets to which a new flow is offered before it waits or is refused.
 	maxOffers = 8
 	// maxAttempts bounds how often one packet may come back, whatever the processes believe.
@@ -36,6 +35,8 @@
 	OutcomeDrop Outcome = iota
 	OutcomeForward
 	OutcomeReset
+	OutcomeSearch // sent along several paths
+	OutcomeHold   // decided about once more when the search or the confirmation ends
 )
 
 // String returns the outcome as logs show it.
@@ -45,6 +46,10 @@
 		return "forward"
 	case OutcomeReset:
 		return "reset"
+	case OutcomeSearch:
+		return "search"
+	case OutcomeHold:
+		return "hold"
 	default:
 		return "drop"
 	}
@@ -60,7 +65,8 @@
 	CauseNext         Cause = "next_target"     // the target before refused the new flow
 	CauseWait         Cause = "wait"            // all targets are busy, the flow waits at one
 	CauseOpen         Cause = "open"            // open flow, by the table
-	CauseSearch       Cause = "search"          // open flow whose target is being searched
+	CauseSearch       Cause = "search"          // open flow whose target is searched from now on
+	CauseSearching    Cause = "searching"       // open flow whose target is being searched
 	CauseNoRoute      Cause = "no_route"        // no configuration names the address
 	CauseNoView       Cause = "no_view"         // no configuration is known yet
 	CauseNoTarget     Cause = "no_target"       // the service has no target that may take new flows
@@ -80,6 +86,7 @@
 	Cause   Cause
 	Target  *directory.Target // of OutcomeForward
 	Header  encap.Header      // of OutcomeForward
+	Paths   []SearchPath      // of OutcomeSearch
 	Service string
 	Seq     uint32 // of OutcomeReset: the number that the caller expects
 }
@@ -88,15 +95,12 @@
 type entry struct {
 	target  *directory.Target
 	service string
-	opening bool          // no packet but SYNs was seen
-	copies  int           // of the SYN, the highest seen
-	waiting bool          // the SYN waits at the target
-	tried   []uint64      // targets that refused the SYN
-	step    int           // next place of the search, 0 while none is under way
-	stepAt  time.Duration // when the search went to the present target
-	skipped bool          // a target did not answer the search
+	opening bool     // no packet but SYNs was seen
+	copies  int      // of the SYN, the highest seen
+	waiting bool     // the SYN waits at the target
+	tried   []uint64 // targets that refused the SYN
+	search  search
 	missAt  time.Duration // when a whole search found nothing first; 0: none did
-	missed  bool          // the last search found nothing
 }
 
 // Dispatcher holds the state of one balancer. It is not safe for concurrent use.
@@ -107,7 +111,8 @@
 	view    *directory.View
 	known   time.Duration // steady time at which the store confirmed the view
 	outAt   map[string]time.Duration
-	search  []*directory.Target
+	search  []*directory.Target // scratch
+	paths   []SearchPath        // scratch
 	outWait time.Duration
 }
 
@@ -255,7 +260,6 @@
 	h.Kind = encap.KindForward
 	h.Service = directory.ServiceTag(e.service)
 	h.Slots = encap.Clamp8(e.target.Slots)
-	h.Searches = e.step > 0
 	if e.target.ColdUntil() > now {
 		if s := d.view.Service(e.service); s != nil {
 			h.ColdRate = encap.Tenths(s.ColdRate)
@@ -272,14 +276,10 @@
 		d.table.Put(key, e, now)
 	}
 	e.opening, e.waiting, e.tried = false, false, nil
-	if e.missed || e.target == nil {
-		return d.startSearch(key, e, p, route, now)
-	}
-	if e.step > 0 && now-e.stepAt > stepLimit {
-		e.skipped = true
-		return d.searchNext(key, e, p, route, encap.Header{}, now)
-	}
-	if e.step == 0 && d.isGone(e.target, now) {
+	switch {
+	case e.search.isRunning(now):
+		return Decision{Outcome: OutcomeHold, Cause: CauseSearching}
+	case e.search.running || e.target == nil || d.isGone(e.target, now):
 		return d.startSearch(key, e, p, route, now)
 	}
 	d.loads.Sent(e.target.Address.IP, false, now)
@@ -309,60 +309,6 @@
 	return out && now-at > d.outWait
 }
 
-func (d *Dispatcher) startSearch(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
-	e.step, e.skipped, e.missed = 0, false, false
-	return d.searchNext(key, e, p, route, encap.Header{}, now)
-}
-
-// searchNext sends the packet to the next target in the order of the search.
-func (d *Dispatcher) searchNext(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, h encap.Header, now time.Duration) Decision {
-	order := d.searchOrder(key, route)
-	for e.step < len(order) {
-		t := order[e.step]
-		e.step++
-		if d.isClosed(t.Domain, now) {
-			e.skipped = true
-			continue
-		}
-		e.target, e.service, e.stepAt = t, t.Service, now
-		d.loads.Sent(t.Address.IP, false, now)
-		return d.forward(e, CauseSearch, h, now)
-	}
-	return d.miss(key, e, p, now)
-}
-
-// searchOrder lists the targets that may hold a flow of the route: those of the service that it chooses, of the route's
-// other services and of those that it named before.
-func (d *Dispatcher) searchOrder(key flow.Key, route *directory.Route) []*directory.Target {
-	services := []string{route.Choose(key.Hash())}
-	for _, c := range route.Choices {
-		if !slices.Contains(services, c.Service) {
-			services = append(services, c.Service)
-		}
-	}
-	services = append(services, d.view.Formerly(route.Name)...)
-	d.search = d.chooser.Search(d.view, services, key.Hash(), d.search[:0])
-	return d.search
-}
-
-// miss ends a search that found nothing. The flow is reset once a whole search failed by a view that the store confirmed
-// after the first miss: a target that another balancer knew of already is found by then.
-func (d *Dispatcher) miss(key flow.Key, e *entry, p *flow.Packet, now time.Duration) Decision {
-	first := e.missAt == 0
-	e.step, e.missed, e.target = 0, true, nil
-	if first {
-		e.missAt = now
-	}
-	if first || e.skipped || d.known <= e.missAt {
-		return Decision{Cause: CauseMissPending}
-	}
-	d.table.Delete(key)
-	if p.Reset {
-		return Decision{Cause: CauseTargetClosed}
-	}
-	return Decision{Outcome: OutcomeReset, Cause: CauseUnknownFlow, Seq: p.Ack}
-}
-
 // Returned decides about a packet that the agent of the VM sent back.
 func (d *Dispatcher) Returned(ip [4]byte, h *encap.Header, p *flow.Packet, now time.Duration) Decision {
 	d.Reported(ip, h, now)
@@ -374,7 +320,6 @@
 	if h.Attempt >= maxAttempts {
 		return Decision{Cause: CauseTooManyHops}
 	}
-	next := encap.Header{Attempt: h.Attempt + 1}
 	e, held := d.table.Get(key, now)
 	if !held {
 		e = &entry{}
@@ -383,18 +328,21 @@
 	if p.Opens() {
 		return d.returnedSyn(key, e, ip, h, p, now)
 	}
-	if e.target == nil || e.target.Address.IP != ip {
-		return d.resend(key, e, p, route, next, now)
-	}
-	return d.searchNext(key, e, p, route, next, now)
+	return d.returnedData(key, e, ip, h, p, route, now)
 }
 
-// resend sends a packet that came back from a target which the flow's search has left meanwhile to the present target.
-func (d *Dispatcher) resend(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, h encap.Header, now time.Duration) Decision {
-	if e.target == nil {
-		return d.searchNext(key, e, p, route, h, now)
+// returnedData goes on with a packet of an open flow that a target does not hold.
+func (d *Dispatcher) returnedData(key flow.Key, e *entry, ip [4]byte, h *encap.Header, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
+	switch {
+	case h.Searches:
+		return d.pathEnded(key, e, h, p, now)
+	case e.search.isRunning(now):
+		return Decision{Outcome: OutcomeHold, Cause: CauseSearching}
+	case e.target != nil && e.target.Address.IP != ip:
+		return d.deliver(e, CauseOpen, encap.Header{Attempt: h.Attempt + 1}, now) // the flow was found elsewhere meanwhile
+	default:
+		return d.startSearch(key, e, p, route, now)
 	}
-	return d.deliver(e, CauseOpen, h, now)
 }
 
 // Found notes that the target on the VM holds a flow that was searched.
@@ -408,7 +356,8 @@
 	if t == nil {
 		return
 	}
-	e.target, e.service, e.step, e.missed, e.missAt = t, t.Service, 0, false, 0
+	e.target, e.service, e.missAt = t, t.Service, 0
+	e.search.running, e.search.tries = false, 0
 }
 
 // returnedSyn offers a refused flow to the next target.
@@ -419,6 +368,9 @@
 	if e.waiting {
 		return d.refuse(key, CauseOverload, p, now)
 	}
+	if h.Reason == encap.ReasonBusy {
+		d.loads.Full(ip, now)
+	}
 	e.tried = append(e.tried, placement.Mark(e.target))
 	return d.offerNext(key, e, CauseNext, p, now)
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,17 +81,48 @@
 
 func caller(port uint16) flow.Endpoint { return flow.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port} }
 
-// deliver hands packets to the targets that hold the flow until one takes it, as the fleet would, and returns the last
-// decision.
-func deliver(d *dispatch.Dispatcher, p *flow.Packet, holder [4]byte, now time.Duration) (dispatch.Decision, int) {
+// deliver hands a packet to the targets as the fleet would until one that holds the flow takes it. silent targets answer
+// nothing. It returns the last decision and the number of targets that saw the packet in vain.
+func deliver(d *dispatch.Dispatcher, p *flow.Packet, holder [4]byte, now time.Duration, silent ...[4]byte) (dispatch.Decision, int) {
 	decision := d.FromCaller(p, now)
-	hops := 0
+	visits := 0
 	for decision.Outcome == dispatch.OutcomeForward && decision.Target.Address.IP != holder {
-		hops++
+		if slices.Contains(silent, decision.Target.Address.IP) {
+			return decision, visits
+		}
+		visits++
 		h := &encap.Header{Kind: encap.KindReturn, Reason: encap.ReasonRefused, Attempt: decision.Header.Attempt}
 		decision = d.Returned(decision.Target.Address.IP, h, p, now)
 	}
-	return decision, hops
+	if decision.Outcome == dispatch.OutcomeSearch {
+		return walk(d, p, &decision, holder, now, silent)
+	}
+	return decision, visits
+}
+
+// walk hands a packet along the paths of a search.
+func walk(d *dispatch.Dispatcher, p *flow.Packet, search *dispatch.Decision, holder [4]byte, now time.Duration, silent [][4]byte) (dispatch.Decision, int) {
+	last, visits, found := *search, 0, false
+	for _, path := range slices.Clone(search.Paths) {
+		h := path.Header
+		at, more := path.First.Address.IP, true
+		for more && at != holder && !slices.Contains(silent, at) {
+			visits++
+			at, more = h.Path.Next()
+		}
+		switch {
+		case !more:
+			answer := &encap.Header{Kind: encap.KindReturn, Reason: encap.ReasonRefused, Searches: true, Round: h.Round}
+			last = d.Returned(path.First.Address.IP, answer, p, now)
+		case at == holder:
+			found = true
+			d.Found(holder, &encap.Header{Kind: encap.KindFound}, p, now)
+		}
+	}
+	if found {
+		return d.FromCaller(p, now), visits
+	}
+	return last, visits
 }
 
 // seconds makes times of tests easy to read. Steady times begin above zero.
@@ -152,12 +184,11 @@
 	d.SetView(f.dir.View(), seconds(1), seconds(1))
 	for holder := 1; holder <= 7; holder++ {
 		port := uint16(holder)
-		decision, hops := deliver(d, data(port), ip(holder), seconds(1))
+		decision, visits := deliver(d, data(port), ip(holder), seconds(1))
 		require.Equal(t, dispatch.OutcomeForward, decision.Outcome)
-		require.LessOrEqual(t, hops, 6)
-		d.Found(ip(holder), &encap.Header{Kind: encap.KindFound}, data(port), seconds(1))
-		_, hops = deliver(d, data(port), ip(holder), seconds(1.5))
-		require.Zero(t, hops, "the table holds what the search found")
+		require.LessOrEqual(t, visits, 6)
+		_, visits = deliver(d, data(port), ip(holder), seconds(1.5))
+		require.Zero(t, visits, "the table holds what the search found")
 	}
 }
 
@@ -192,7 +223,6 @@
 			d := dispatch.New(domainA, c.outWait)
 			d.SetView(f.dir.View(), seconds(1), seconds(1))
 			deliver(d, data(1), ip(2), seconds(1))
-			d.Found(ip(2), &encap.Header{Kind: encap.KindFound}, data(1), seconds(1))
 			f.out(domainB, true)
 			d.SetView(f.dir.View(), seconds(2), seconds(2))
 			early, _ := deliver(d, data(1), ip(2), seconds(3))
@@ -244,15 +274,64 @@
 	now := seconds(1)
 	for range 20 {
 		d.SetView(f.dir.View(), now, now)
-		decision := d.FromCaller(data(1), now)
-		for decision.Outcome == dispatch.OutcomeForward && decision.Target.ID == "i-1" {
-			decision = d.Returned(ip(1), &encap.Header{Kind: encap.KindReturn}, data(1), now)
-		}
+		decision, _ := deliver(d, data(1), [4]byte{}, now, ip(2))
 		require.NotEqual(t, dispatch.OutcomeReset, decision.Outcome)
 		now += seconds(0.4)
 	}
 }
 
+// A target that does not answer ends its path. The next search takes shorter paths, so that all others are asked.
+func TestSearchGetsPastASilentTarget(t *testing.T) {
+	f := newFleet(t)
+	for n := 1; n <= 12; n++ {
+		f.target(n, domainA, directory.TargetReady)
+	}
+	for holder := 2; holder <= 12; holder++ {
+		d := dispatch.New(domainA, dispatch.KeepFlows)
+		d.SetView(f.dir.View(), seconds(1), seconds(1))
+		now, found := seconds(1), false
+		for range 3 {
+			decision, _ := deliver(d, data(uint16(holder)), ip(holder), now, ip(1))
+			found = found || decision.Outcome == dispatch.OutcomeForward
+			now += seconds(0.2)
+		}
+		require.True(t, found, "the flow on target %d", holder)
+	}
+}
+
+// Packets of a flow that arrive during its search wait for it, since each lost one costs its caller 200 ms.
+func TestPacketsWaitForTheSearchOfTheirFlow(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	f.target(2, domainA, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	require.Equal(t, dispatch.OutcomeSearch, d.FromCaller(data(1), seconds(1)).Outcome)
+	require.Equal(t, dispatch.OutcomeHold, d.FromCaller(data(1), seconds(1.001)).Outcome)
+	d.Found(ip(2), &encap.Header{Kind: encap.KindFound}, data(1), seconds(1.002))
+	decision := d.FromCaller(data(1), seconds(1.002))
+	require.Equal(t, dispatch.OutcomeForward, decision.Outcome)
+	require.Equal(t, ip(2), decision.Target.Address.IP)
+}
+
+// After the loss of power of a whole deployment each open flow is searched in vain, by balancers of a twentieth of a
+// core: the packets that a balancer sends for it must be few.
+func TestSearchOfALargePoolCostsTheBalancerFewPackets(t *testing.T) {
+	f := newFleet(t)
+	for n := 1; n <= 52; n++ {
+		f.target(n, domainA, directory.TargetReady)
+	}
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	decision := d.FromCaller(data(1), seconds(1))
+	require.LessOrEqual(t, len(decision.Paths), 10)
+	visited := 0
+	for _, path := range decision.Paths {
+		visited += 1 + path.Header.Path.Len
+	}
+	require.Equal(t, 52, visited)
+}
+
 func TestRemovedRouteDropsItsFlows(t *testing.T) {
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
--- /dev/null
+++ b/dispatch/search.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/encap"
+	"github.com/cowslipward/cowslipward/flow"
+)
+
+// pathLengths are the numbers of targets on each path of the first, the second and all later searches of a flow. A
+// shorter path loses fewer targets to one that does not answer, and costs the balancer more packets.
+var pathLengths = [...]int{6, 2, 1}
+
+// SearchPath is a list of targets that a packet visits in turn until one of them holds its flow.
+type SearchPath struct {
+	First  *directory.Target
+	Header encap.Header // with the path after the first target
+}
+
+// search is the state of the search for the target of an open flow.
+type search struct {
+	running bool
+	at      time.Duration // of its start
+	round   uint8         // number of the search, by which late answers are told apart
+	tries   int           // searches since the last one that all targets answered
+	open    int           // paths that have not ended
+	skipped bool          // some targets were not asked
+}
+
+// isRunning reports whether answers of the search may still come.
+func (s *search) isRunning(now time.Duration) bool {
+	return s.running && now-s.at < searchLimit
+}
+
+// startSearch sends a packet of an open flow to all targets that may hold it, along several paths.
+func (d *Dispatcher) startSearch(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
+	length := pathLengths[min(e.search.tries, len(pathLengths)-1)]
+	e.search = search{running: true, at: now, round: e.search.round + 1, tries: e.search.tries + 1}
+	order := d.searchOrder(key, route)
+	d.paths = d.paths[:0]
+	for start := 0; start < len(order); {
+		end := start
+		for end < len(order) && end-start < length && order[end].Service == order[start].Service {
+			end++
+		}
+		d.addPath(e, order[start:end], now)
+		start = end
+	}
+	e.search.open = len(d.paths)
+	if e.search.open == 0 {
+		return d.miss(key, e, p, now)
+	}
+	return Decision{Outcome: OutcomeSearch, Cause: CauseSearch, Paths: d.paths}
+}
+
+// addPath adds a path over targets of one service, without those in domains that get no packet any more.
+func (d *Dispatcher) addPath(e *entry, targets []*directory.Target, now time.Duration) {
+	var path SearchPath
+	for _, t := range targets {
+		if d.isClosed(t.Domain, now) {
+			e.search.skipped = true
+			continue
+		}
+		d.loads.Sent(t.Address.IP, false, now)
+		if path.First == nil {
+			path.First = t
+			continue
+		}
+		path.Header.Path.Add(t.Address.IP)
+	}
+	if path.First == nil {
+		return
+	}
+	path.Header.Kind = encap.KindForward
+	path.Header.Service = directory.ServiceTag(path.First.Service)
+	path.Header.Searches = true
+	path.Header.Round = e.search.round
+	d.paths = append(d.paths, path)
+}
+
+// searchOrder lists the targets that may hold a flow of the route: those of the service that it chooses, of the route's
+// other services and of those that it named before.
+func (d *Dispatcher) searchOrder(key flow.Key, route *directory.Route) []*directory.Target {
+	services := []string{route.Choose(key.Hash())}
+	for _, c := range route.Choices {
+		if !slices.Contains(services, c.Service) {
+			services = append(services, c.Service)
+		}
+	}
+	services = append(services, d.view.Formerly(route.Name)...)
+	d.search = d.chooser.Search(d.view, services, key.Hash(), d.search[:0])
+	return d.search
+}
+
+// pathEnded notes that no target on a path holds the flow.
+func (d *Dispatcher) pathEnded(key flow.Key, e *entry, h *encap.Header, p *flow.Packet, now time.Duration) Decision {
+	if !e.search.running || h.Round != e.search.round {
+		return Decision{Cause: CauseStaleReturn}
+	}
+	e.search.open--
+	if e.search.open > 0 {
+		return Decision{Cause: CauseSearching}
+	}
+	return d.miss(key, e, p, now)
+}
+
+// miss ends a search that found nothing. The flow is reset once a whole search failed by a view that the store confirmed
+// after the first miss: a target that another balancer knew of already is found by then.
+func (d *Dispatcher) miss(key flow.Key, e *entry, p *flow.Packet, now time.Duration) Decision {
+	first := e.missAt == 0
+	e.search.running, e.search.tries, e.target = false, 0, nil
+	if first {
+		e.missAt = now
+	}
+	if first || e.search.skipped || d.known <= e.missAt {
+		return Decision{Outcome: OutcomeHold, Cause: CauseMissPending}
+	}
+	d.table.Delete(key)
+	if p.Reset {
+		return Decision{Cause: CauseTargetClosed}
+	}
+	return Decision{Outcome: OutcomeReset, Cause: CauseUnknownFlow, Seq: p.Ack}
+}
--- a/encap/encap.go
+++ b/encap/encap.go
@@ -8,8 +8,11 @@
 	"math"
 )
 
-// Bytes is the length of the header.
-const Bytes = 18
+// Bytes is the length of the header without its path, and MaxPath the longest path.
+const (
+	Bytes   = 24
+	MaxPath = 8
+)
 
 // magic begins each header; its last half is the version of the format.
 const magic = 0xc101
@@ -67,6 +70,35 @@
 	ColdRate uint16 // KindForward: new flows a second that the cold target bears, in tenths; 0 is no limit
 	Aim      uint16 // KindForward: within which an answer is in time, in milliseconds
 	Service  uint32 // tag of the service that the packet is for
+
+	// Origin is the balancer that gets the answer, where another agent passed the packet on. Path lists the agents that
+	// are tried next for a flow that is searched, and Round is the number of that search.
+	Origin [4]byte
+	Round  uint8
+	Path   Path
+}
+
+// Path is a short list of VMs.
+type Path struct {
+	Len int
+	IPs [MaxPath][4]byte
+}
+
+// Add appends a VM. The path must have room.
+func (p *Path) Add(ip [4]byte) {
+	p.IPs[p.Len] = ip
+	p.Len++
+}
+
+// Next takes the first VM off the path.
+func (p *Path) Next() (ip [4]byte, ok bool) {
+	if p.Len == 0 {
+		return ip, false
+	}
+	ip = p.IPs[0]
+	copy(p.IPs[:], p.IPs[1:p.Len])
+	p.Len--
+	return ip, true
 }
 
 const (
@@ -79,6 +111,7 @@
 var (
 	ErrShort   = errors.New("datagram is shorter than its header")
 	ErrForeign = errors.New("datagram has another format or version")
+	ErrPath    = errors.New("datagram is shorter than the path in its header")
 )
 
 // Append appends the encoded header.
@@ -97,7 +130,13 @@
 	b = append(b, byte(h.Kind), byte(h.Reason), flags, h.Attempt, h.Slots, h.Load, h.Waiting, h.Priority)
 	b = binary.BigEndian.AppendUint16(b, h.ColdRate)
 	b = binary.BigEndian.AppendUint16(b, h.Aim)
-	return binary.BigEndian.AppendUint32(b, h.Service)
+	b = binary.BigEndian.AppendUint32(b, h.Service)
+	b = append(b, h.Origin[:]...)
+	b = append(b, h.Round, byte(h.Path.Len))
+	for i := range h.Path.Len {
+		b = append(b, h.Path.IPs[i][:]...)
+	}
+	return b
 }
 
 // Decode reads the header of a datagram and returns the packet behind it.
@@ -123,7 +162,17 @@
 		Aim:      binary.BigEndian.Uint16(b[12:]),
 		Service:  binary.BigEndian.Uint32(b[14:]),
 	}
-	return h, b[Bytes:], nil
+	copy(h.Origin[:], b[18:])
+	h.Round = b[22]
+	h.Path.Len = int(b[23])
+	rest := b[Bytes:]
+	if h.Path.Len > MaxPath || len(rest) < 4*h.Path.Len {
+		return Header{}, nil, ErrPath
+	}
+	for i := range h.Path.Len {
+		copy(h.Path.IPs[i][:], rest[4*i:])
+	}
+	return h, rest[4*h.Path.Len:], nil
 }
 
 // Clamp8 returns n as far as a byte of the header holds it.
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -56,6 +56,7 @@
 	balancers []balancer
 	index     map[flow.Endpoint]int
 	parked    map[flow.Key]parked
+	searches  map[searchKey]encap.Header
 	armed     bool // the timer for flows that wait runs
 	timerOut  *agentBoxes
 	closed    chan struct{}
@@ -67,6 +68,16 @@
 	seen    time.Duration
 }
 
+// searchKey identifies a search that passes this agent: the flow and the balancer that searches it.
+type searchKey struct {
+	flow     flow.Key
+	balancer int
+}
+
+// maxSearches bounds the searches that an agent remembers. It forgets all of them beyond that; callers send their
+// packets again.
+const maxSearches = 4096
+
 // parked is the SYN of a flow that waits.
 type parked struct {
 	packet   [platform.HeaderBytes]byte
@@ -95,6 +106,7 @@
 		gate:     targetgate.New(),
 		index:    make(map[flow.Endpoint]int),
 		parked:   make(map[flow.Key]parked),
+		searches: make(map[searchKey]encap.Header),
 		closed:   make(chan struct{}),
 	}
 	a.timerOut = a.newOutboxes()
@@ -190,8 +202,13 @@
 	now := a.clock.now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if h.Origin != [4]byte{} {
+		from.IP = h.Origin // another agent passed the packet on; balancers use one port for their tunnels
+	}
 	sender := a.balancerAt(from, now)
 	switch {
+	case h.Service != a.tag && h.Searches:
+		a.searchOn(out, sender, &h, packet, now)
 	case h.Service != a.tag:
 		a.giveBack(out, from, h.Attempt, encap.ReasonOtherService, packet, now)
 		a.logFlow("flow_of_other_service", p.FromCaller(), "balancer", from, "service", a.config.Service)
@@ -233,12 +250,14 @@
 // pass hands a packet of an open flow to the target.
 func (a *Agent) pass(out *agentBoxes, h *encap.Header, p *flow.Packet, packet []byte, sender int, now time.Duration) {
 	asker := flow.Endpoint{}
+	key := p.FromCaller()
 	if h.Searches {
 		asker = a.balancers[sender].address
+		a.rememberSearch(searchKey{flow: key, balancer: sender}, h)
 	}
-	known := a.gate.FromCaller(p.FromCaller(), p, asker, now)
+	known := a.gate.FromCaller(key, p, asker, now)
 	if known && h.Searches {
-		a.found(out, asker, p.FromCaller(), now)
+		a.found(out, asker, key, now)
 	}
 	a.toTarget(out, packet, a.token(sender, h.Attempt))
 }
@@ -248,6 +267,30 @@
 	out.local.send(a.target, packet)
 }
 
+func (a *Agent) rememberSearch(key searchKey, h *encap.Header) {
+	if len(a.searches) >= maxSearches {
+		clear(a.searches)
+	}
+	a.searches[key] = *h
+}
+
+// searchOn passes a packet whose flow the target does not hold to the next agent of the search, or back to the balancer
+// where there is none.
+func (a *Agent) searchOn(out *agentBoxes, sender int, h *encap.Header, packet []byte, now time.Duration) {
+	platform.ClearReturned(packet)
+	origin := a.balancers[sender].address
+	next, more := h.Path.Next()
+	if !more {
+		answer := a.header(encap.KindReturn, now)
+		answer.Reason, answer.Searches, answer.Round = encap.ReasonRefused, true, h.Round
+		out.balancers.wrap(origin, &answer, packet)
+		return
+	}
+	h.Origin = origin.IP
+	h.Attempt++
+	out.balancers.wrap(flow.Endpoint{IP: next, Port: a.config.Tunnel.Port()}, h, packet)
+}
+
 // found tells a balancer that the target holds a flow.
 func (a *Agent) found(out *agentBoxes, to flow.Endpoint, key flow.Key, now time.Duration) {
 	h := a.header(encap.KindFound, now)
@@ -286,6 +329,7 @@
 	} else {
 		key := p.FromTarget()
 		if asker := a.gate.FromTarget(key, &p, now); asker.IsValid() {
+			delete(a.searches, searchKey{flow: key, balancer: a.index[asker]})
 			a.found(out, asker, key, now)
 		}
 		out.local.send(flow.Endpoint{IP: key.Caller.IP, Port: a.config.CallerPort}, datagram)
@@ -302,6 +346,12 @@
 	}
 	key := p.FromCaller()
 	a.gate.Returned(key, now)
+	search := searchKey{flow: key, balancer: sender}
+	if h, searched := a.searches[search]; searched {
+		delete(a.searches, search)
+		a.searchOn(out, sender, &h, packet, now)
+		return
+	}
 	a.giveBack(out, a.balancers[sender].address, attempt, encap.ReasonRefused, packet, now)
 	a.logFlow("packet_refused_by_target", key, "balancer", a.balancers[sender].address, "load", a.gate.Load())
 }
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -89,16 +89,16 @@
 func (b *Balancer) SetView(view *directory.View, known time.Duration) {
 	b.mu.Lock()
 	b.dispatcher.SetView(view, known, b.clock.now())
-	due := b.held.due(view.Config != nil, known)
+	due := b.held.due(view.Config != nil, known, b.clock.now())
 	b.mu.Unlock()
 	for _, packet := range due {
-		b.decideAgain(packet)
+		b.decideAgain(b.heldOut, packet)
 	}
 	b.heldOut.flush()
 }
 
-// decideAgain decides about a packet that was held. It is not held a second time.
-func (b *Balancer) decideAgain(packet []byte) {
+// decideAgain decides about a packet that was held.
+func (b *Balancer) decideAgain(out *outboxes, packet []byte) {
 	p, err := platform.DecodePacket(packet)
 	if err != nil {
 		return // it was readable when it was held
@@ -106,7 +106,8 @@
 	b.mu.Lock()
 	d := b.dispatcher.FromCaller(&p, b.clock.now())
 	b.mu.Unlock()
-	b.act(b.heldOut, &d, &p, packet)
+	b.act(out, &d, &p, packet)
+	b.hold(&d, &p, packet)
 }
 
 // hold keeps a packet until the view allows a decision.
@@ -118,8 +119,12 @@
 	case dispatch.CauseNoView:
 		b.held.untilView(packet)
 	case dispatch.CauseMissPending:
-		b.held.untilConfirmed(p.FromCaller(), packet, now)
+		b.held.untilFound(p.FromCaller(), packet, true, now)
 		b.config.Confirm()
+	case dispatch.CauseSearching:
+		if d.Outcome == dispatch.OutcomeHold {
+			b.held.untilFound(p.FromCaller(), packet, false, now)
+		}
 	}
 }
 
@@ -201,7 +206,11 @@
 	b.mu.Lock()
 	if h.Kind == encap.KindFound {
 		b.dispatcher.Found(from.IP, &h, &p, now)
+		held := b.held.ofFlow(p.FromCaller())
 		b.mu.Unlock()
+		for _, packet := range held {
+			b.decideAgain(out, packet)
+		}
 		return
 	}
 	d := b.dispatcher.Returned(from.IP, &h, &p, now)
@@ -220,12 +229,17 @@
 	case dispatch.OutcomeForward:
 		agent := flow.Endpoint{IP: d.Target.Address.IP, Port: b.config.Tunnel.Port()}
 		out.agents.wrap(agent, &d.Header, packet)
+	case dispatch.OutcomeSearch:
+		for i := range d.Paths {
+			agent := flow.Endpoint{IP: d.Paths[i].First.Address.IP, Port: b.config.Tunnel.Port()}
+			out.agents.wrap(agent, &d.Paths[i].Header, packet)
+		}
 	case dispatch.OutcomeReset:
 		to := flow.Endpoint{IP: key.Caller.IP, Port: b.config.Packets.Port()}
 		out.callers.sendOwned(to, platform.AppendReset(nil, key, d.Seq))
 	}
 	b.count(d.Cause)
-	if d.Cause != dispatch.CauseOpen {
+	if d.Cause != dispatch.CauseOpen && d.Cause != dispatch.CauseSearching {
 		b.logDecision(d, p, key)
 	}
 }
@@ -258,7 +272,7 @@
 	b.mu.Unlock()
 	b.config.Log.Info("flow_decision", "flow", key.String(), "cause", string(d.Cause), "outcome", d.Outcome.String(),
 		"target", target, "service", d.Service, "copy", p.Copy, "attempt", d.Header.Attempt,
-		"revision", view.Revision, "view_age", b.clock.now()-known, "skipped", skipped)
+		"paths", len(d.Paths), "revision", view.Revision, "view_age", b.clock.now()-known, "skipped", skipped)
 }
 
 var (
--- a/forward/held.go
+++ b/forward/held.go
@@ -8,56 +8,80 @@
 )
 
 const (
-	// maxHeld bounds the packets that wait for the first view, and the flows that wait for a confirmed one.
-	maxHeld = 256
-	// heldLife is how long a packet of an unknown flow waits. Its caller sends it again meanwhile.
+	// maxEarly bounds the packets that wait for the first view.
+	maxEarly = 256
+	// maxHeldFlows and maxHeldPackets bound the flows whose packets wait, and the packets of each: as many as a caller
+	// sends without an answer.
+	maxHeldFlows   = 512
+	maxHeldPackets = 16
+	// heldLife is how long packets of a flow wait. Their caller sends them again meanwhile.
 	heldLife = time.Second
 )
 
-// heldPackets are packets about which a fresher view decides.
+// heldPackets are packets about which a fresher view or the end of a search decides.
 type heldPackets struct {
-	early   [][]byte // before the first view
-	unknown map[flow.Key]heldPacket
+	early [][]byte // before the first view
+	flows map[flow.Key]*heldFlow
 }
 
-type heldPacket struct {
-	packet []byte
-	at     time.Duration
+type heldFlow struct {
+	packets [][]byte
+	at      time.Duration
+	unknown bool // no target holds the flow by the present view
 }
 
 // untilView keeps a packet until there is a view.
 func (h *heldPackets) untilView(packet []byte) {
-	if len(h.early) < maxHeld {
+	if len(h.early) < maxEarly {
 		h.early = append(h.early, bytes.Clone(packet))
 	}
 }
 
-// untilConfirmed keeps a packet of a flow that no target holds until the store confirms the view. One of each flow is
-// enough to find or to reset it.
-func (h *heldPackets) untilConfirmed(key flow.Key, packet []byte, now time.Duration) {
-	if h.unknown == nil {
-		h.unknown = make(map[flow.Key]heldPacket)
+// untilFound keeps a packet until the search for its flow ends, or with unknown until the store confirms the view.
+func (h *heldPackets) untilFound(key flow.Key, packet []byte, unknown bool, now time.Duration) {
+	if h.flows == nil {
+		h.flows = make(map[flow.Key]*heldFlow)
 	}
-	if _, held := h.unknown[key]; !held && len(h.unknown) < maxHeld {
-		h.unknown[key] = heldPacket{packet: bytes.Clone(packet), at: now}
+	held := h.flows[key]
+	if held == nil {
+		if len(h.flows) >= maxHeldFlows {
+			return
+		}
+		held = &heldFlow{at: now}
+		h.flows[key] = held
+	}
+	held.unknown = held.unknown || unknown
+	if len(held.packets) < maxHeldPackets {
+		held.packets = append(held.packets, bytes.Clone(packet))
 	}
 }
 
-// due returns the packets about which a view that was confirmed at the steady time known can decide.
-func (h *heldPackets) due(hasView bool, known time.Duration) [][]byte {
+// ofFlow takes the packets of a flow whose search ended.
+func (h *heldPackets) ofFlow(key flow.Key) [][]byte {
+	held := h.flows[key]
+	if held == nil {
+		return nil
+	}
+	delete(h.flows, key)
+	return held.packets
+}
+
+// due takes the packets about which a view that was confirmed at the steady time known can decide, and forgets those
+// that waited for too long.
+func (h *heldPackets) due(hasView bool, known, now time.Duration) [][]byte {
 	if !hasView {
 		return nil
 	}
 	list := h.early
 	h.early = nil
-	for key, held := range h.unknown {
-		if known <= held.at {
-			continue
-		}
-		if known-held.at < heldLife {
-			list = append(list, held.packet)
+	for key, held := range h.flows {
+		switch {
+		case now-held.at > heldLife:
+			delete(h.flows, key)
+		case held.unknown && known > held.at:
+			list = append(list, held.packets...)
+			delete(h.flows, key)
 		}
-		delete(h.unknown, key)
 	}
 	return list
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -17,6 +17,8 @@
 	reportLife = 500 * time.Millisecond
 	// silenceLimit is how long an agent that gets packets may say nothing before its target counts as silent.
 	silenceLimit = 700 * time.Millisecond
+	// fullLife is how long a target that refused a new flow for lack of slots is not offered another.
+	fullLife = 30 * time.Millisecond
 )
 
 // load is what a balancer knows of the work of one target.
@@ -25,6 +27,7 @@
 	placed     int // new flows that this process sent since the report
 	reportedAt time.Duration
 	silent     bool
+	fullAt     time.Duration // when it refused a new flow for lack of slots; 0: never
 	owed       time.Duration // steady time of the first packet that the agent has not been heard of since; 0: none
 }
 
@@ -53,6 +56,15 @@
 	held.silent, held.owed = silent, 0
 }
 
+// Full notes that the target on the VM refused a new flow for lack of slots.
+func (l *Loads) Full(ip [4]byte, now time.Duration) { l.of(ip).fullAt = now }
+
+// isFull reports whether the target refused a new flow a moment ago.
+func (l *Loads) isFull(ip [4]byte, now time.Duration) bool {
+	held := l.byIP[ip]
+	return held != nil && held.fullAt != 0 && now-held.fullAt < fullLife
+}
+
 // Sent notes that a packet went to the VM, and with opens that it was a new flow.
 func (l *Loads) Sent(ip [4]byte, opens bool, now time.Duration) {
 	held := l.of(ip)
@@ -119,20 +131,18 @@
 	order Order
 }
 
-// Choose returns the target that a new flow is offered to next, or nil where all eligible ones were tried. The first
-// offer goes to the less busy of a few targets that the hash of the flow gives; later ones go to the least busy of all.
+// Choose returns the target that a new flow is offered to next, or nil where all eligible ones were tried or have no
+// slot. The first offer goes to the less busy of a few targets that the hash of the flow gives; later ones go to the
+// least busy of all.
 func (c *Chooser) Choose(view *directory.View, service string, hash uint64, tried []uint64, now time.Duration) *directory.Target {
 	var best *directory.Target
 	var least float64
 	offered := 0
 	for _, t := range c.order.Of(view.Targets(service), c.Home, hash) {
-		if !Eligible(view, t) || wasTried(tried, t) {
+		if !Eligible(view, t) || wasTried(tried, t) || c.Loads.isFull(t.Address.IP, now) {
 			continue
 		}
-		cost := c.Loads.Fraction(t, now)
-		if t.Domain != c.Home {
-			cost += remotePenalty
-		}
+		cost := c.cost(t, now)
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -144,9 +154,27 @@
 	return best
 }
 
-// LeastBusy returns the eligible target with the least work, tried or not.
+// LeastBusy returns the eligible target with the least work, full or not.
 func (c *Chooser) LeastBusy(view *directory.View, service string, hash uint64, now time.Duration) *directory.Target {
-	return c.Choose(view, service, hash, nil, now)
+	var best *directory.Target
+	var least float64
+	for _, t := range c.order.Of(view.Targets(service), c.Home, hash) {
+		if !Eligible(view, t) {
+			continue
+		}
+		if cost := c.cost(t, now); best == nil || cost < least {
+			best, least = t, cost
+		}
+	}
+	return best
+}
+
+func (c *Chooser) cost(t *directory.Target, now time.Duration) float64 {
+	cost := c.Loads.Fraction(t, now)
+	if t.Domain != c.Home {
+		cost += remotePenalty
+	}
+	return cost
 }
 
 // Search returns all targets of the services in the order in which an open flow is searched.
--- a/viewsync/peers.go
+++ b/viewsync/peers.go
@@ -31,6 +31,7 @@
 // message is what processes tell each other by datagram.
 type message struct {
 	Update   bool   // the sender reads the store; else it only says that it lives
+	Confirm  bool   `json:",omitempty"` // the sender wants a view that the store confirms now
 	Base     uint64 // Records holds all changes after this revision
 	Revision uint64
 	Age      int64 // since the store confirmed the view, milliseconds
@@ -81,6 +82,20 @@
 	}
 }
 
+// askReader asks the process that reads the store for a confirmed view. It reports false where none is known.
+func (s *Syncer) askReader() bool {
+	s.mu.Lock()
+	now := s.config.Now()
+	ok := !s.reading && s.reader.IsValid() && now-s.known < s.patience
+	m := message{Confirm: true, Revision: s.directory.Revision()}
+	reader := s.reader
+	s.mu.Unlock()
+	if ok {
+		s.send(&m, []netip.AddrPort{reader})
+	}
+	return ok
+}
+
 // encode returns a message that fits in a datagram, without its records where they are too many.
 func encode(m *message) ([]byte, error) {
 	datagram, err := json.Marshal(m)
@@ -137,8 +152,12 @@
 	}
 	if !m.Update {
 		s.mu.Unlock()
+		if m.Confirm {
+			s.Confirm()
+		}
 		return
 	}
+	s.reader = from
 	known := now - time.Duration(m.Age)*time.Millisecond - transitMargin
 	yields := from.Compare(s.config.Self) < 0 && known > s.known-patience
 	isWhole := !m.Partial && m.Base <= s.directory.Revision()
--- a/viewsync/read.go
+++ b/viewsync/read.go
@@ -21,7 +21,9 @@
 	retryMin = 100 * time.Millisecond
 	retryMax = 400 * time.Millisecond
 	// confirmPause is the least time between two confirmations that were asked for.
-	confirmPause = 150 * time.Millisecond
+	confirmPause = 100 * time.Millisecond
+	// readerAnswer is how long a process waits for the reader to confirm the view.
+	readerAnswer = 30 * time.Millisecond
 )
 
 // Run keeps the view current until the context ends.
@@ -181,7 +183,8 @@
 	}
 }
 
-// runConfirm makes the confirmations that were asked for.
+// runConfirm makes the confirmations that were asked for. The reader makes them for all; where it does not answer, the
+// process asks the store itself.
 func (s *Syncer) runConfirm(ctx context.Context) {
 	for {
 		select {
@@ -189,13 +192,36 @@
 			return
 		case <-s.confirm:
 		}
-		if err := s.watch(ctx, time.Millisecond); err != nil {
-			s.config.Log.Warn("confirmation_failed", "error", err, "view_age", s.Age())
+		asked := s.config.Now()
+		if s.askReader() {
+			sleep(ctx, readerAnswer)
+		}
+		if s.knownAt() < asked {
+			s.confirmNow(ctx)
 		}
 		sleep(ctx, confirmPause)
 	}
 }
 
+func (s *Syncer) confirmNow(ctx context.Context) {
+	if err := s.watch(ctx, time.Millisecond); err != nil {
+		s.config.Log.Warn("confirmation_failed", "error", err, "view_age", s.Age())
+		return
+	}
+	s.mu.Lock()
+	reading := s.reading
+	s.mu.Unlock()
+	if reading {
+		s.push()
+	}
+}
+
+func (s *Syncer) knownAt() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -57,6 +57,7 @@
 	readAt    time.Duration // of the last answer that the store gave this process
 	graceTill time.Duration
 	reading   bool
+	reader    netip.AddrPort // peer that sent the last update
 	yieldedAt time.Duration // when the process last left the reading to a peer
 	failing   bool
 	members   *members
