Find targets that do not run, and leave overloaded flows their next copy

Changes: an agent whose target says nothing opens a connection to it, and only a refusal counts as down; a view keeps the newest entry of an address; a flow without room is dropped until its last copy and reset only then.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -190,9 +190,11 @@
 		}
 	}
 	for _, t := range targets {
-		v.targets[t.Service] = append(v.targets[t.Service], t)
 		v.byIP[t.Address.IP] = newer(v.byIP[t.Address.IP], t)
 	}
+	for _, t := range v.byIP {
+		v.targets[t.Service] = append(v.targets[t.Service], t)
+	}
 	for _, list := range v.targets {
 		slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
 	}
@@ -205,8 +207,23 @@
 
 // newer returns the target that uses an address now, where the entry of an earlier user still stands.
 func newer(a, b *Target) *Target {
-	if a == nil || b.Born > a.Born {
+	switch {
+	case a == nil:
 		return b
+	case (a.Lapsed != 0) != (b.Lapsed != 0):
+		if a.Lapsed != 0 {
+			return b
+		}
+		return a
+	case b.Born != a.Born:
+		if b.Born > a.Born {
+			return b
+		}
+		return a
+	default:
+		if b.ID > a.ID { // both orders of the same entries yield the same view
+			return b
+		}
+		return a
 	}
-	return a
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -70,7 +70,8 @@
 	CauseNoRoute      Cause = "no_route"        // no configuration names the address
 	CauseNoView       Cause = "no_view"         // no configuration is known yet
 	CauseNoTarget     Cause = "no_target"       // the service has no target that may take new flows
-	CauseOverload     Cause = "overload"        // no target has room, and the flow cannot wait
+	CauseNoRoom       Cause = "no_room"         // no target has room now, the caller's next copy may find some
+	CauseOverload     Cause = "overload"        // no target has room for the last copy of a SYN
 	CauseUnknownFlow  Cause = "unknown_flow"    // no target holds the flow
 	CauseMissPending  Cause = "miss_unproved"   // no target holds the flow as far as an older view knows
 	CauseDomainOut    Cause = "domain_out"      // the flow lives in a failure domain that is out of service
@@ -360,13 +361,26 @@
 	e.search.running, e.search.tries = false, 0
 }
 
+// lastCopy is the number of the last copy of a SYN that a caller sends in one attempt.
+const lastCopy = 2
+
+// overloaded ends an offer that found no room to wait either. The caller's next copy may find some; after the last one
+// the flow is refused, so that the caller does not wait in vain.
+func (d *Dispatcher) overloaded(key flow.Key, e *entry, p *flow.Packet, now time.Duration) Decision {
+	if p.Copy >= lastCopy {
+		return d.refuse(key, CauseOverload, p, now)
+	}
+	e.waiting, e.target, e.tried = false, nil, nil
+	return Decision{Cause: CauseNoRoom}
+}
+
 // returnedSyn offers a refused flow to the next target.
 func (d *Dispatcher) returnedSyn(key flow.Key, e *entry, ip [4]byte, h *encap.Header, p *flow.Packet, now time.Duration) Decision {
 	if !e.opening || e.target == nil || e.target.Address.IP != ip || p.Copy < e.copies {
 		return Decision{Cause: CauseStaleReturn}
 	}
 	if e.waiting {
-		return d.refuse(key, CauseOverload, p, now)
+		return d.overloaded(key, e, p, now)
 	}
 	if h.Reason == encap.ReasonBusy {
 		d.loads.Full(ip, now)
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -56,7 +57,9 @@
 	balancers []balancer
 	index     map[flow.Endpoint]int
 	parked    map[flow.Key]parked
-	searches  map[searchKey]encap.Header
+	searches  map[searchKey]passingSearch
+	probing   bool
+	probed    time.Duration
 	armed     bool // the timer for flows that wait runs
 	timerOut  *agentBoxes
 	closed    chan struct{}
@@ -74,6 +77,12 @@
 	balancer int
 }
 
+// passingSearch is a search whose packet was given to the target.
+type passingSearch struct {
+	header encap.Header
+	packet []byte // kept where the target was not heard of lately
+}
+
 // maxSearches bounds the searches that an agent remembers. It forgets all of them beyond that; callers send their
 // packets again.
 const maxSearches = 4096
@@ -106,7 +115,7 @@
 		gate:     targetgate.New(),
 		index:    make(map[flow.Endpoint]int),
 		parked:   make(map[flow.Key]parked),
-		searches: make(map[searchKey]encap.Header),
+		searches: make(map[searchKey]passingSearch),
 		closed:   make(chan struct{}),
 	}
 	a.timerOut = a.newOutboxes()
@@ -206,6 +215,7 @@
 		from.IP = h.Origin // another agent passed the packet on; balancers use one port for their tunnels
 	}
 	sender := a.balancerAt(from, now)
+	a.probeIfSuspect(now)
 	switch {
 	case h.Service != a.tag && h.Searches:
 		a.searchOn(out, sender, &h, packet, now)
@@ -251,9 +261,17 @@
 func (a *Agent) pass(out *agentBoxes, h *encap.Header, p *flow.Packet, packet []byte, sender int, now time.Duration) {
 	asker := flow.Endpoint{}
 	key := p.FromCaller()
-	if h.Searches {
+	switch {
+	case a.gate.Down() && h.Searches:
+		a.searchOn(out, sender, h, packet, now)
+		return
+	case a.gate.Down():
+		a.giveBack(out, a.balancers[sender].address, h.Attempt, encap.ReasonSilent, packet, now)
+		return
+	case h.Searches:
 		asker = a.balancers[sender].address
-		a.rememberSearch(searchKey{flow: key, balancer: sender}, h)
+		a.rememberSearch(searchKey{flow: key, balancer: sender}, h, packet, now)
+		a.gate.Asked(now)
 	}
 	known := a.gate.FromCaller(key, p, asker, now)
 	if known && h.Searches {
@@ -267,11 +285,15 @@
 	out.local.send(a.target, packet)
 }
 
-func (a *Agent) rememberSearch(key searchKey, h *encap.Header) {
+func (a *Agent) rememberSearch(key searchKey, h *encap.Header, packet []byte, now time.Duration) {
 	if len(a.searches) >= maxSearches {
 		clear(a.searches)
 	}
-	a.searches[key] = *h
+	passing := passingSearch{header: *h}
+	if a.gate.Quiet(quietLimit, now) {
+		passing.packet = bytes.Clone(packet)
+	}
+	a.searches[key] = passing
 }
 
 // searchOn passes a packet whose flow the target does not hold to the next agent of the search, or back to the balancer
@@ -347,9 +369,9 @@
 	key := p.FromCaller()
 	a.gate.Returned(key, now)
 	search := searchKey{flow: key, balancer: sender}
-	if h, searched := a.searches[search]; searched {
+	if passing, searched := a.searches[search]; searched {
 		delete(a.searches, search)
-		a.searchOn(out, sender, &h, packet, now)
+		a.searchOn(out, sender, &passing.header, packet, now)
 		return
 	}
 	a.giveBack(out, a.balancers[sender].address, attempt, encap.ReasonRefused, packet, now)
@@ -410,6 +432,7 @@
 		now := a.clock.now()
 		a.mu.Lock()
 		a.gate.Expire(now)
+		a.probeIfSuspect(now)
 		h := a.header(encap.KindReport, now)
 		for i := range a.balancers {
 			if now-a.balancers[i].seen < balancerIdle {
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -23,6 +23,10 @@
 	attemptLimit = 1350 * time.Millisecond
 	// silenceLimit is how long a target may leave a SYN without an answer before it counts as silent.
 	silenceLimit = 150 * time.Millisecond
+	// suspectAfter is how long a target may say nothing after a packet that it answers at once, and suspectWork after a
+	// request, before it is probed.
+	suspectAfter = 60 * time.Millisecond
+	suspectWork  = 350 * time.Millisecond
 	// probePeriod is how often a silent target is offered a flow all the same.
 	probePeriod = 250 * time.Millisecond
 	// firstWork stands for the time of a request until one has been seen.
@@ -99,8 +103,11 @@
 	slots   int
 	work    time.Duration // mean time of a request
 	cold    []time.Duration
-	owed    time.Duration // time of the first SYN that the target left without an answer; 0: none
-	probed  time.Duration
+	owed    time.Duration // of the first packet to which the target owes an answer at once; 0: none
+	owedFor time.Duration // of the first request since the target was heard of; 0: none
+	heard   time.Duration // when the target was last heard of
+	offered time.Duration // when the target was last given a new flow
+	down    bool          // a probe showed that the target does not run
 }
 
 type opening struct {
@@ -125,7 +132,44 @@
 
 // Silent reports whether the target leaves new flows without an answer.
 func (g *Gate) Silent(now time.Duration) bool {
-	return g.owed != 0 && now-g.owed > silenceLimit
+	return g.down || (g.owed != 0 && now-g.owed > silenceLimit)
+}
+
+// Suspect reports whether the target says so little that it may not run.
+func (g *Gate) Suspect(now time.Duration) bool {
+	return (g.owed != 0 && now-g.owed > suspectAfter) || (g.owedFor != 0 && now-g.owedFor > suspectWork)
+}
+
+// Probed takes over what a probe showed. A target that does not run holds no flow.
+func (g *Gate) Probed(runs bool, now time.Duration) {
+	g.down = !runs
+	if runs {
+		g.owed, g.owedFor = 0, 0
+		return
+	}
+	for key, s := range g.busy {
+		g.end(key, s)
+	}
+	g.owedFor = 0
+	g.owed = now
+}
+
+// Down reports whether a probe showed that the target does not run, and nothing was heard of it since.
+func (g *Gate) Down() bool { return g.down }
+
+// Quiet reports whether the target was not heard of for the time.
+func (g *Gate) Quiet(limit, now time.Duration) bool { return now-g.heard > limit }
+
+// Asked notes a packet that the target answers at once.
+func (g *Gate) Asked(now time.Duration) {
+	if g.owed == 0 {
+		g.owed = now
+	}
+}
+
+// hear notes a packet of the target.
+func (g *Gate) hear(now time.Duration) {
+	g.owed, g.owedFor, g.heard, g.down = 0, 0, now, false
 }
 
 // Offer decides about a new flow.
@@ -150,7 +194,7 @@
 // obstacle returns why the target cannot take a flow now.
 func (g *Gate) obstacle(o *Offer, now time.Duration) encap.Reason {
 	switch {
-	case g.Silent(now) && now-g.probed < probePeriod:
+	case g.down, g.Silent(now) && now-g.offered < probePeriod:
 		return encap.ReasonSilent
 	case g.Load() >= g.limit() || len(g.waiting.items) > 0:
 		return encap.ReasonBusy
@@ -185,10 +229,8 @@
 	g.flows.Put(o.Key, s, now)
 	g.opening = append(g.opening, opening{key: o.Key, state: s, at: now})
 	g.cold = append(g.cold, now)
-	if g.owed == 0 {
-		g.owed = now
-	}
-	g.probed = now
+	g.Asked(now)
+	g.offered = now
 }
 
 // Expire forgets work that will not end: flows whose caller sent no request, and requests without an answer.
@@ -234,6 +276,9 @@
 	case p.DataLen > 0 && g.isNew(s, p):
 		s.phase, s.since = requestWork, now
 		g.busy[key] = s
+		if g.owedFor == 0 {
+			g.owedFor = now
+		}
 	}
 	return s.known
 }
@@ -250,7 +295,7 @@
 
 // FromTarget notes a packet of the target. It returns the balancer that searches the flow, if one does.
 func (g *Gate) FromTarget(key flow.Key, p *flow.Packet, now time.Duration) (asker flow.Endpoint) {
-	g.owed = 0
+	g.hear(now)
 	s, held := g.flows.Get(key, now)
 	if !held {
 		s = &state{}
@@ -286,7 +331,7 @@
 
 // Returned notes that the target sent a packet of a flow back: it does not hold the flow.
 func (g *Gate) Returned(key flow.Key, now time.Duration) {
-	g.owed = 0
+	g.hear(now)
 	if s, held := g.flows.Get(key, now); held {
 		g.end(key, s)
 		g.flows.Delete(key)
