Place new flows by the mean work of targets; tests of the packet path's packages

Cause, found by a simulation of placement without network: balancers followed the last report of each target, requests end sooner than reports arrive, and all balancers pressed the same target until the next report. Change: the slow mean of the reports, the process's own flows of the last 60 ms and the flows that wait.

--- a/cmd/cowslip-l4/balancer.go
+++ b/cmd/cowslip-l4/balancer.go
@@ -49,7 +49,9 @@
 }
 
 // confirmation leads a balancer's wish for a confirmed view to its syncer, which is made after it.
-type confirmation struct{ syncer atomic.Pointer[viewsync.Syncer] }
+type confirmation struct {
+	syncer atomic.Pointer[viewsync.Syncer]
+}
 
 func (c *confirmation) ask() {
 	if v := c.syncer.Load(); v != nil {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -73,6 +73,7 @@
 	ColdLeft time.Duration // how long it stays cold, counted from Seen
 	Born     int64         // start of the target, Unix milliseconds by its own clock
 
+	Seed   uint64        `json:"-"` // hash of the ID, for orders of preference
 	Seen   time.Duration // steady time at which this process took the entry over
 	Lapsed time.Duration // steady time at which the entry lapsed while the store was away; 0: it holds
 }
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,188 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/flow"
+)
+
+func target(id string, n byte, born int64) *directory.Target {
+	return &directory.Target{
+		ID: id, Service: "bench", Address: flow.Endpoint{IP: [4]byte{10, 0, 0, n}, Port: 80}, Domain: "a", Slots: 9,
+		State: directory.TargetReady, Born: born,
+	}
+}
+
+func added(id string, n byte, revision uint64) directory.Record {
+	return directory.Record{Kind: directory.KindTarget, Name: id, Revision: revision, Target: target(id, n, int64(revision))}
+}
+
+func configOf(version int64, service string) *directory.Config {
+	return &directory.Config{Version: version, Routes: []directory.Route{{
+		Name: "r", Address: flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443},
+		Choices: []directory.Choice{{Service: service, Weight: 1}},
+	}}}
+}
+
+func apply(d *directory.Directory, now time.Duration, records ...directory.Record) {
+	for i := range records {
+		d.Apply(&records[i], now)
+	}
+}
+
+// Records reach processes in any order, twice, and through peers: versions only rise, and all orders end in one view.
+func TestRecordsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []directory.Record
+		for revision := uint64(1); revision <= 20; revision++ {
+			id := fmt.Sprintf("i-%d", rapid.IntRange(1, 4).Draw(t, "id"))
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				records = append(records, directory.Record{Kind: directory.KindTarget, Name: id, Revision: revision, Removed: true})
+			case 1:
+				records = append(records, directory.Record{Kind: directory.KindConfig, Revision: revision, Config: configOf(int64(revision), "bench")})
+			case 2:
+				removed := rapid.Bool().Draw(t, "back")
+				records = append(records, directory.Record{Kind: directory.KindOut, Name: "a", Revision: revision, Removed: removed})
+			default:
+				records = append(records, added(id, byte(revision), revision))
+			}
+		}
+		ordered, shuffled := directory.New(), directory.New()
+		apply(ordered, 0, records...)
+		version := int64(0)
+		for _, i := range rapid.Permutation(append(indexes(len(records)), indexes(len(records))...)).Draw(t, "order") {
+			shuffled.Apply(&records[i], 0)
+			if config := shuffled.View().Config; config != nil {
+				require.GreaterOrEqual(t, config.Version, version, "a version never falls")
+				version = config.Version
+			}
+		}
+		require.Equal(t, ordered.View().Targets("bench"), shuffled.View().Targets("bench"))
+		require.Equal(t, ordered.View().Out, shuffled.View().Out)
+		require.Equal(t, ordered.View().Config, shuffled.View().Config)
+	})
+}
+
+func indexes(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+func TestOlderVersionIsRefused(t *testing.T) {
+	d := directory.New()
+	apply(d, 0, directory.Record{Kind: directory.KindConfig, Revision: 5, Config: configOf(7, "bench")})
+	apply(d, 0, directory.Record{Kind: directory.KindConfig, Revision: 9, Config: configOf(6, "archive")})
+	require.Equal(t, int64(7), d.View().Config.Version)
+}
+
+func TestUnreadableConfigKeepsTheOneInForce(t *testing.T) {
+	d := directory.New()
+	apply(d, 0, directory.Record{Kind: directory.KindConfig, Revision: 5, Config: configOf(7, "bench")})
+	apply(d, 0, directory.Record{Kind: directory.KindConfig, Revision: 6, Unreadable: "bytes"})
+	require.Equal(t, int64(7), d.View().Config.Version)
+}
+
+func TestUnreadableEntryNamesNoTarget(t *testing.T) {
+	d := directory.New()
+	apply(d, 0, added("i-1", 1, 1), added("i-2", 2, 2))
+	apply(d, 0, directory.Record{Kind: directory.KindTarget, Name: "i-1", Revision: 3, Unreadable: "bytes"})
+	require.Len(t, d.View().Targets("bench"), 1)
+}
+
+// The entry of a target's earlier start stands until it lapses, beside that of the present one.
+func TestNewestEntryOfAnAddressCounts(t *testing.T) {
+	for _, order := range [][]directory.Record{
+		{added("i-old", 1, 1), added("i-new", 1, 2)},
+		{added("i-new", 1, 2), added("i-old", 1, 1)},
+	} {
+		d := directory.New()
+		apply(d, 0, order...)
+		targets := d.View().Targets("bench")
+		require.Len(t, targets, 1)
+		require.Equal(t, "i-new", targets[0].ID)
+		require.Equal(t, "i-new", d.View().TargetOn([4]byte{10, 0, 0, 1}).ID)
+	}
+}
+
+func TestLapsedEntryMayComeBack(t *testing.T) {
+	d := directory.New()
+	apply(d, time.Second, added("i-1", 1, 1), added("i-2", 2, 1))
+	lapse := func(id string) directory.Record {
+		return directory.Record{Kind: directory.KindTarget, Name: id, Revision: 2, Removed: true, Lapse: true}
+	}
+	apply(d, 10*time.Second, lapse("i-1"), lapse("i-2"))
+	require.Len(t, d.View().Targets("bench"), 2, "entries lapse while the store is away")
+	apply(d, 11*time.Second, added("i-1", 1, 3))
+	require.Equal(t, []string{"i-2"}, d.DropLapsed(12*time.Second))
+	targets := d.View().Targets("bench")
+	require.Len(t, targets, 1)
+	require.Equal(t, "i-1", targets[0].ID)
+}
+
+// What a whole copy of the store lacks has been removed, unless it is newer than the copy.
+func TestWholeCopyRemovesWhatItLacks(t *testing.T) {
+	d := directory.New()
+	apply(d, 0, added("i-1", 1, 1), added("i-2", 2, 2), added("i-3", 3, 9),
+		directory.Record{Kind: directory.KindOut, Name: "a", Revision: 3})
+	missing := d.Missing([]directory.Record{added("i-1", 1, 1)}, 8)
+	apply(d, 0, missing...)
+	var left []string
+	for _, t := range d.View().Targets("bench") {
+		left = append(left, t.ID)
+	}
+	require.Equal(t, []string{"i-1", "i-3"}, left)
+	require.Empty(t, d.View().Out)
+}
+
+// A peer that takes over what changed since its revision ends with the same view.
+func TestSinceBringsAPeerUpToDate(t *testing.T) {
+	ahead, behind := directory.New(), directory.New()
+	apply(ahead, 0, added("i-1", 1, 1), added("i-2", 2, 2))
+	apply(behind, 0, added("i-1", 1, 1), added("i-2", 2, 2))
+	apply(ahead, 0, directory.Record{Kind: directory.KindTarget, Name: "i-1", Revision: 3, Removed: true},
+		directory.Record{Kind: directory.KindOut, Name: "a", Revision: 4},
+		directory.Record{Kind: directory.KindConfig, Revision: 5, Config: configOf(1, "bench")})
+	apply(behind, 0, ahead.Since(2, 0)...)
+	require.Equal(t, ahead.View().Targets("bench"), behind.View().Targets("bench"))
+	require.Equal(t, ahead.View().Out, behind.View().Out)
+	require.Equal(t, ahead.View().Config, behind.View().Config)
+}
+
+func TestColdTimeRunsOnThePeersClocks(t *testing.T) {
+	d := directory.New()
+	cold := added("i-1", 1, 1)
+	cold.Target.ColdLeft = 2 * time.Second
+	apply(d, 10*time.Second, cold)
+	passed := d.Since(0, 11*time.Second)
+	require.Equal(t, time.Second, passed[0].Target.ColdLeft)
+}
+
+func TestRouteRemembersItsFormerServices(t *testing.T) {
+	d := directory.New()
+	apply(d, 0, directory.Record{Kind: directory.KindConfig, Revision: 1, Config: configOf(1, "bench")})
+	apply(d, 0, directory.Record{Kind: directory.KindConfig, Revision: 2, Config: configOf(2, "archive")})
+	require.Equal(t, []string{"bench"}, d.View().Formerly("r"))
+	apply(d, 0, directory.Record{Kind: directory.KindConfig, Revision: 3, Config: configOf(3, "bench")})
+	require.Equal(t, []string{"archive"}, d.View().Formerly("r"))
+}
+
+func TestWeightsShareNewFlows(t *testing.T) {
+	r := directory.Route{Choices: []directory.Choice{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	count := map[string]int{}
+	for hash := range uint64(1000) {
+		count[r.Choose(hash)]++
+	}
+	require.Equal(t, map[string]int{"a": 900, "b": 100}, count)
+	none := directory.Route{}
+	require.Empty(t, none.Choose(1))
+}
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // lapseGrace is how long after the return of the store an entry that lapsed during the outage may still come back.
@@ -143,6 +145,7 @@
 		return held != nil
 	}
 	target := *r.Target
+	target.Seed = xxhash.Sum64String(target.ID)
 	target.Seen, target.Lapsed = now, 0
 	d.targets[r.Name], d.dirty = &target, true
 	return true
--- /dev/null
+++ b/encap/encap_test.go
@@ -0,0 +1,94 @@
+package encap_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipward/cowslipward/encap"
+)
+
+func drawHeader(t *rapid.T) encap.Header {
+	h := encap.Header{
+		Kind:     encap.Kind(rapid.IntRange(1, 4).Draw(t, "kind")),
+		Reason:   encap.Reason(rapid.Byte().Draw(t, "reason")),
+		Last:     rapid.Bool().Draw(t, "last"),
+		Searches: rapid.Bool().Draw(t, "searches"),
+		Silent:   rapid.Bool().Draw(t, "silent"),
+		Attempt:  rapid.Byte().Draw(t, "attempt"),
+		Slots:    rapid.Byte().Draw(t, "slots"),
+		Priority: rapid.Byte().Draw(t, "priority"),
+		Load:     rapid.Byte().Draw(t, "load"),
+		Waiting:  rapid.Byte().Draw(t, "waiting"),
+		ColdRate: rapid.Uint16().Draw(t, "cold"),
+		Aim:      rapid.Uint16().Draw(t, "aim"),
+		Service:  rapid.Uint32().Draw(t, "service"),
+		Origin:   [4]byte{10, 0, 0, rapid.Byte().Draw(t, "origin")},
+		Round:    rapid.Byte().Draw(t, "round"),
+	}
+	for range rapid.IntRange(0, encap.MaxPath).Draw(t, "path") {
+		h.Path.Add([4]byte{10, 0, 1, rapid.Byte().Draw(t, "ip")})
+	}
+	return h
+}
+
+func TestHeaderSurvivesTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHeader(t)
+		packet := rapid.SliceOf(rapid.Byte()).Draw(t, "packet")
+		got, rest, err := encap.Decode(append(h.Append(nil), packet...))
+		require.NoError(t, err)
+		require.Equal(t, h, got)
+		require.Equal(t, len(packet), len(rest))
+	})
+}
+
+func TestForeignDatagrams(t *testing.T) {
+	h := encap.Header{Kind: encap.KindForward}
+	whole := h.Append(nil)
+	_, _, err := encap.Decode(whole[:encap.Bytes-1])
+	require.ErrorIs(t, err, encap.ErrShort)
+	other := append([]byte{}, whole...)
+	other[1]++ // another version of the format
+	_, _, err = encap.Decode(other)
+	require.ErrorIs(t, err, encap.ErrForeign)
+	path := append([]byte{}, whole...)
+	path[23] = 3
+	_, _, err = encap.Decode(path)
+	require.ErrorIs(t, err, encap.ErrPath)
+	path[23] = 255
+	_, _, err = encap.Decode(append(path, make([]byte, 2000)...))
+	require.ErrorIs(t, err, encap.ErrPath)
+}
+
+func TestPathIsTakenInOrder(t *testing.T) {
+	var p encap.Path
+	p.Add([4]byte{1})
+	p.Add([4]byte{2})
+	first, ok := p.Next()
+	require.True(t, ok)
+	second, _ := p.Next()
+	_, more := p.Next()
+	require.Equal(t, [][4]byte{{1}, {2}}, [][4]byte{first, second})
+	require.False(t, more)
+}
+
+func TestRatesKeepAPartOfOne(t *testing.T) {
+	require.Equal(t, uint16(0), encap.Tenths(0))
+	require.Equal(t, uint16(1), encap.Tenths(0.01), "a rate above zero is a limit")
+	require.Equal(t, uint16(45), encap.Tenths(4.5))
+	require.Equal(t, uint16(65535), encap.Tenths(1e9))
+}
+
+func FuzzDecode(f *testing.F) {
+	h := encap.Header{Kind: encap.KindForward}
+	h.Path.Add([4]byte{10, 0, 0, 1})
+	f.Add(h.Append(nil))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		h, rest, err := encap.Decode(b)
+		if err == nil {
+			require.Equal(t, len(b), len(h.Append(nil))+len(rest))
+		}
+	})
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -16,11 +16,11 @@
 	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cowslipward/cowslipward/configservice"
 	"github.com/cowslipward/cowslipward/fleet"
 	"github.com/cowslipward/cowslipward/gen/cowslipward/fleet/v1/fleetv1connect"
 	"github.com/cowslipward/cowslipward/internal/pause"
 	"github.com/cowslipward/cowslipward/keys"
-	"github.com/cowslipward/cowslipward/configservice"
 	"github.com/cowslipward/cowslipward/rules"
 	"github.com/cowslipward/cowslipward/settings"
 )
--- a/placement/order.go
+++ b/placement/order.go
@@ -6,8 +6,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/internal/hash64"
 )
@@ -59,5 +57,5 @@
 
 // rank returns the rendezvous hash of a target for a flow.
 func rank(t *directory.Target, hash uint64) uint64 {
-	return hash64.Mix(xxhash.Sum64String(t.ID) ^ hash)
+	return hash64.Mix(t.Seed ^ hash)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/cowslipward/cowslipward/directory"
@@ -13,8 +14,13 @@
 	// lapsedPenalty and silentPenalty put targets last that may be gone.
 	lapsedPenalty = 4.0
 	silentPenalty = 8.0
-	// reportLife is how long an agent's report counts in full. An older one fades out over the same time.
-	reportLife = 500 * time.Millisecond
+	// reportPeriod is the time between two reports that count in full, and reportWeight the weight of one in the mean.
+	// The mean is slow, since requests end sooner than reports arrive: balancers that followed the last report would all
+	// press the same target until the next.
+	reportPeriod = 200 * time.Millisecond
+	reportWeight = 0.1
+	// recentLife is the time constant with which flows that the process placed fade out of its estimate.
+	recentLife = 60 * time.Millisecond
 	// silenceLimit is how long an agent that gets packets may say nothing before its target counts as silent.
 	silenceLimit = 700 * time.Millisecond
 	// fullLife is how long a target that refused a new flow for lack of slots is not offered another.
@@ -23,8 +29,10 @@
 
 // load is what a balancer knows of the work of one target.
 type load struct {
-	reported   int // requests in progress and new flows that wait
-	placed     int // new flows that this process sent since the report
+	mean       float64 // of the requests in progress, over reports
+	waiting    int     // new flows that wait at the target, by the last report
+	recent     float64 // new flows that this process sent lately, decayed
+	recentAt   time.Duration
 	reportedAt time.Duration
 	silent     bool
 	fullAt     time.Duration // when it refused a new flow for lack of slots; 0: never
@@ -52,19 +60,16 @@
 // Reported takes over what an agent says of its target.
 func (l *Loads) Reported(ip [4]byte, inProgress, waiting int, silent bool, now time.Duration) {
 	held := l.of(ip)
-	held.reported, held.placed, held.reportedAt = inProgress+waiting, 0, now
+	if held.reportedAt == 0 {
+		held.mean = float64(inProgress)
+	} else {
+		age := min(1, float64(now-held.reportedAt)/float64(reportPeriod))
+		held.mean += reportWeight * age * (float64(inProgress) - held.mean)
+	}
+	held.waiting, held.reportedAt = waiting, now
 	held.silent, held.owed = silent, 0
 }
 
-// Full notes that the target on the VM refused a new flow for lack of slots.
-func (l *Loads) Full(ip [4]byte, now time.Duration) { l.of(ip).fullAt = now }
-
-// isFull reports whether the target refused a new flow a moment ago.
-func (l *Loads) isFull(ip [4]byte, now time.Duration) bool {
-	held := l.byIP[ip]
-	return held != nil && held.fullAt != 0 && now-held.fullAt < fullLife
-}
-
 // Sent notes that a packet went to the VM, and with opens that it was a new flow.
 func (l *Loads) Sent(ip [4]byte, opens bool, now time.Duration) {
 	held := l.of(ip)
@@ -72,10 +77,25 @@
 		held.owed = now
 	}
 	if opens {
-		held.placed++
+		held.recent = held.recentFlows(now) + 1
+		held.recentAt = now
 	}
 }
 
+// recentFlows returns how many of the flows that this process sent are still at work, as far as their age tells.
+func (l *load) recentFlows(now time.Duration) float64 {
+	return l.recent * math.Exp(-float64(now-l.recentAt)/float64(recentLife))
+}
+
+// Full notes that the target on the VM refused a new flow for lack of slots.
+func (l *Loads) Full(ip [4]byte, now time.Duration) { l.of(ip).fullAt = now }
+
+// isFull reports whether the target refused a new flow a moment ago.
+func (l *Loads) isFull(ip [4]byte, now time.Duration) bool {
+	held := l.byIP[ip]
+	return held != nil && held.fullAt != 0 && now-held.fullAt < fullLife
+}
+
 // Heard reports whether the agent of the VM was heard of within the limit of silence.
 func (l *Loads) Heard(ip [4]byte, now time.Duration) bool {
 	held := l.byIP[ip]
@@ -98,12 +118,7 @@
 	if held == nil {
 		return penalty(t, false)
 	}
-	work := float64(held.placed)
-	if age := now - held.reportedAt; age < 2*reportLife {
-		work += float64(held.reported) * min(1, 2-float64(age)/float64(reportLife))
-	} else {
-		work = min(work, float64(t.Slots)/2)
-	}
+	work := held.mean + held.recentFlows(now) + float64(held.waiting)
 	silent := held.silent || (held.owed != 0 && now-held.owed > silenceLimit)
 	return work/float64(t.Slots) + penalty(t, silent)
 }
@@ -132,8 +147,7 @@
 }
 
 // Choose returns the target that a new flow is offered to next, or nil where all eligible ones were tried or have no
-// slot. The first offer goes to the less busy of a few targets that the hash of the flow gives; later ones go to the
-// least busy of all.
+// slot: the least busy of the first few in the order of the flow.
 func (c *Chooser) Choose(view *directory.View, service string, hash uint64, tried []uint64, now time.Duration) *directory.Target {
 	var best *directory.Target
 	var least float64
@@ -147,7 +161,7 @@
 			best, least = t, cost
 		}
 		offered++
-		if len(tried) == 0 && offered >= homeChoices+remoteChoices && least < 1 {
+		if offered >= homeChoices+remoteChoices && least < 1 {
 			break
 		}
 	}
--- /dev/null
+++ b/targetgate/gate_test.go
@@ -0,0 +1,245 @@
+package targetgate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipward/cowslipward/encap"
+	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/targetgate"
+)
+
+const ms = time.Millisecond
+
+func keyOf(port int) flow.Key {
+	return flow.Key{
+		Caller:  flow.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: uint16(port)},
+		Service: flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443},
+	}
+}
+
+func offer(port int) *targetgate.Offer {
+	return &targetgate.Offer{Key: keyOf(port), Slots: 9, Aim: 250 * ms}
+}
+
+func last(port, copies int) *targetgate.Offer {
+	o := offer(port)
+	o.Last, o.Copy = true, copies
+	return o
+}
+
+func request(seq uint32) *flow.Packet {
+	return &flow.Packet{Seq: seq, AckFlag: true, DataLen: 100}
+}
+
+var answer = &flow.Packet{AckFlag: true, DataLen: 500}
+
+// fill gives the target as many flows with a request as it takes, and returns their number.
+func fill(g *targetgate.Gate, now time.Duration) int {
+	for n := 1; ; n++ {
+		if verdict, _ := g.Offer(offer(n), now); verdict != targetgate.Accept {
+			return n - 1
+		}
+		g.FromTarget(keyOf(n), &flow.Packet{Syn: true, AckFlag: true}, now)
+		g.FromCaller(keyOf(n), request(1), flow.Endpoint{}, now)
+	}
+}
+
+func TestTargetGetsNoMoreThanItsSlotsAndOneInReserve(t *testing.T) {
+	g := targetgate.New()
+	taken := fill(g, time.Second)
+	require.GreaterOrEqual(t, taken, 9)
+	require.LessOrEqual(t, taken, 11)
+	verdict, reason := g.Offer(offer(100), time.Second)
+	require.Equal(t, targetgate.Refuse, verdict)
+	require.Equal(t, encap.ReasonBusy, reason)
+}
+
+func TestAnswerFreesASlot(t *testing.T) {
+	g := targetgate.New()
+	fill(g, time.Second)
+	load := g.Load()
+	g.FromTarget(keyOf(1), answer, time.Second+50*ms)
+	require.Equal(t, load-1, g.Load())
+	verdict, _ := g.Offer(offer(100), time.Second+50*ms)
+	require.Equal(t, targetgate.Accept, verdict)
+}
+
+func TestRepeatedDataIsNoNewRequest(t *testing.T) {
+	g := targetgate.New()
+	g.Offer(offer(1), time.Second)
+	g.FromCaller(keyOf(1), request(1), flow.Endpoint{}, time.Second)
+	g.FromTarget(keyOf(1), answer, time.Second+50*ms)
+	g.FromCaller(keyOf(1), request(1), flow.Endpoint{}, time.Second+200*ms)
+	g.Expire(time.Second + 200*ms)
+	require.Zero(t, g.Load())
+	g.FromCaller(keyOf(1), request(101), flow.Endpoint{}, time.Second+300*ms)
+	require.Equal(t, 1, g.Load(), "the next request of the flow counts")
+}
+
+func TestAcceptedFlowWithoutARequestFreesItsSlot(t *testing.T) {
+	g := targetgate.New()
+	g.Offer(offer(1), time.Second)
+	require.Equal(t, 1, g.Load())
+	g.Expire(time.Second + 100*ms)
+	require.Zero(t, g.Load(), "the caller chose another target")
+}
+
+func TestResetAndReturnEndWork(t *testing.T) {
+	g := targetgate.New()
+	for port := 1; port <= 2; port++ {
+		g.Offer(offer(port), time.Second)
+		g.FromCaller(keyOf(port), request(1), flow.Endpoint{}, time.Second)
+	}
+	g.FromTarget(keyOf(1), &flow.Packet{Reset: true}, time.Second)
+	g.Returned(keyOf(2), time.Second)
+	g.Expire(time.Second)
+	require.Zero(t, g.Load())
+}
+
+// After a final fault the callers' copies and retries arrive together: first come those that can still be in time, by
+// priority and then by age.
+func TestWaitingFlowsGoInTheOrderThatServesMostInTime(t *testing.T) {
+	g := targetgate.New()
+	fill(g, time.Second)
+	late, fresh, urgent, older := last(201, 2), last(202, 0), last(203, 0), last(204, 0)
+	older.Priority, fresh.Priority, late.Priority, urgent.Priority = 2, 2, 1, 1
+	now := time.Second
+	for _, o := range []*targetgate.Offer{late, older, fresh, urgent} {
+		verdict, _ := g.Offer(o, now)
+		require.Equal(t, targetgate.Wait, verdict)
+		now += ms
+	}
+	var order []int
+	for port := 1; port <= 4; port++ {
+		g.FromTarget(keyOf(port), answer, now)
+		key, ok := g.Next(now)
+		require.True(t, ok)
+		order = append(order, int(key.Caller.Port))
+	}
+	require.Equal(t, []int{203, 204, 202, 201}, order)
+}
+
+func TestOnlyALastOfferWaits(t *testing.T) {
+	g := targetgate.New()
+	fill(g, time.Second)
+	verdict, _ := g.Offer(offer(100), time.Second)
+	require.Equal(t, targetgate.Refuse, verdict, "another target may have room")
+	verdict, _ = g.Offer(last(100, 0), time.Second)
+	require.Equal(t, targetgate.Wait, verdict)
+}
+
+func TestCopyTakesThePlaceOfItsSyn(t *testing.T) {
+	g := targetgate.New()
+	fill(g, time.Second)
+	g.Offer(last(100, 0), time.Second)
+	g.Offer(last(100, 1), time.Second+200*ms)
+	require.Equal(t, 1, g.Waiting())
+}
+
+func TestFlowsWaitNoLongerThanTheirCallers(t *testing.T) {
+	g := targetgate.New()
+	fill(g, time.Second)
+	g.Offer(last(100, 2), time.Second)
+	_, ok := g.Next(time.Second + 900*ms)
+	require.False(t, ok)
+	require.Zero(t, g.Waiting(), "the attempt of its caller ended")
+}
+
+// What would get its slot only after its caller gave up is refused at once.
+func TestQueueIsNoLongerThanItsUse(t *testing.T) {
+	g := targetgate.New()
+	fill(g, time.Second)
+	refused := 0
+	for port := 1000; port < 2000; port++ {
+		if verdict, _ := g.Offer(last(port, 0), time.Second); verdict == targetgate.Refuse {
+			refused++
+		}
+	}
+	require.Positive(t, refused)
+	worst := time.Duration(g.Waiting()) * 50 * ms / 9
+	require.LessOrEqual(t, worst, 1400*ms)
+}
+
+func TestColdTargetGetsItsRateInAnySecond(t *testing.T) {
+	g := targetgate.New()
+	var accepted []time.Duration
+	for now := time.Second; now < 6*time.Second; now += 7 * ms {
+		o := offer(int(now / ms))
+		o.Slots, o.ColdRate = 1000, 4.5
+		if verdict, _ := g.Offer(o, now); verdict == targetgate.Accept {
+			accepted = append(accepted, now)
+		}
+	}
+	require.Greater(t, len(accepted), 15)
+	for i := 4; i < len(accepted); i++ {
+		require.GreaterOrEqual(t, accepted[i]-accepted[i-4], time.Second, "at most four in any second")
+	}
+}
+
+func TestColdRateCountsFlowsThatWaited(t *testing.T) {
+	g := targetgate.New()
+	for port := 1; port <= 6; port++ {
+		o := last(port, 0)
+		o.ColdRate = 2
+		g.Offer(o, time.Second)
+	}
+	require.Equal(t, 4, g.Waiting())
+	_, ok := g.Next(time.Second + 500*ms)
+	require.False(t, ok)
+}
+
+func TestSilentTargetGetsAProbeNowAndThen(t *testing.T) {
+	g := targetgate.New()
+	g.Offer(offer(1), time.Second)
+	accepted := 0
+	for now := time.Second + 200*ms; now < 2*time.Second; now += 10 * ms {
+		if verdict, _ := g.Offer(offer(int(now/ms)), now); verdict == targetgate.Accept {
+			accepted++
+		}
+	}
+	require.True(t, g.Silent(2*time.Second))
+	require.InDelta(t, 3, accepted, 1)
+	g.FromTarget(keyOf(1), answer, 2*time.Second)
+	require.False(t, g.Silent(2*time.Second))
+}
+
+// A target whose process ended holds no flow: nothing goes there until it is heard of.
+func TestTargetThatDoesNotRun(t *testing.T) {
+	g := targetgate.New()
+	g.Offer(offer(1), time.Second)
+	g.FromCaller(keyOf(1), request(1), flow.Endpoint{}, time.Second)
+	require.True(t, g.Suspect(time.Second+100*ms))
+	g.Probed(false, time.Second+100*ms)
+	require.True(t, g.Down())
+	verdict, reason := g.Offer(offer(2), 3*time.Second)
+	require.Equal(t, targetgate.Refuse, verdict)
+	require.Equal(t, encap.ReasonSilent, reason)
+	g.Expire(3 * time.Second)
+	require.Zero(t, g.Load())
+	g.FromTarget(keyOf(3), answer, 3*time.Second)
+	require.False(t, g.Down())
+}
+
+func TestTargetAtWorkIsNotSuspect(t *testing.T) {
+	g := targetgate.New()
+	g.Offer(offer(1), time.Second)
+	g.FromTarget(keyOf(1), &flow.Packet{Syn: true, AckFlag: true}, time.Second)
+	g.FromCaller(keyOf(1), request(1), flow.Endpoint{}, time.Second)
+	require.False(t, g.Suspect(time.Second+200*ms), "a request takes its time")
+	require.True(t, g.Suspect(time.Second+500*ms))
+}
+
+// A balancer that searches a flow hears of it from the first packet that proves it, and only once.
+func TestSearcherIsToldWhenTheTargetShowsItsFlow(t *testing.T) {
+	g := targetgate.New()
+	asker := flow.Endpoint{IP: [4]byte{10, 0, 0, 1}, Port: 1}
+	require.False(t, g.FromCaller(keyOf(1), request(1), asker, time.Second))
+	require.False(t, g.FromTarget(keyOf(1), &flow.Packet{Syn: true, AckFlag: true}, time.Second).IsValid(),
+		"the target may have opened another flow of the same ends")
+	require.Equal(t, asker, g.FromTarget(keyOf(1), answer, time.Second))
+	require.False(t, g.FromTarget(keyOf(1), answer, time.Second).IsValid())
+	require.True(t, g.FromCaller(keyOf(1), request(200), asker, time.Second))
+}
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -58,7 +58,7 @@
 	graceTill time.Duration
 	reading   bool
 	reader    netip.AddrPort // peer that sent the last update
-	yieldedAt time.Duration // when the process last left the reading to a peer
+	yieldedAt time.Duration  // when the process last left the reading to a peer
 	failing   bool
 	members   *members
 	recent    []mark
