Count the time that a balancer held a SYN, and read the store sooner at a start without a view

Held SYNs passed for fresh ones when the view came. Change: their time goes with them; the latest copy of a SYN takes the place of earlier ones; a process without any view retries after 40 to 80 ms and pushes what it read to its peers.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -61,10 +61,6 @@
 	}})
 }
 
-func (f *fleet) remove(n int) {
-	f.apply(directory.Record{Kind: directory.KindTarget, Name: fmt.Sprintf("i-%d", n), Removed: true})
-}
-
 func (f *fleet) out(domain string, out bool) {
 	f.apply(directory.Record{Kind: directory.KindOut, Name: domain, Removed: !out})
 }
--- a/encap/encap.go
+++ b/encap/encap.go
@@ -6,11 +6,12 @@
 	"encoding/binary"
 	"errors"
 	"math"
+	"time"
 )
 
 // Bytes is the length of the header without its path, and MaxPath the longest path.
 const (
-	Bytes   = 24
+	Bytes   = 26
 	MaxPath = 8
 )
 
@@ -68,6 +69,7 @@
 	Waiting  uint8  // from an agent: new flows that wait for a slot
 	Silent   bool   // from an agent: the target does not answer
 	ColdRate uint16 // KindForward: new flows a second that the cold target bears, in tenths; 0 is no limit
+	Held     uint16 // KindForward: how long the balancer kept the packet, in milliseconds
 	Aim      uint16 // KindForward: within which an answer is in time, in milliseconds
 	Service  uint32 // tag of the service that the packet is for
 
@@ -133,6 +135,7 @@
 	b = binary.BigEndian.AppendUint32(b, h.Service)
 	b = append(b, h.Origin[:]...)
 	b = append(b, h.Round, byte(h.Path.Len))
+	b = binary.BigEndian.AppendUint16(b, h.Held)
 	for i := range h.Path.Len {
 		b = append(b, h.Path.IPs[i][:]...)
 	}
@@ -165,6 +168,7 @@
 	copy(h.Origin[:], b[18:])
 	h.Round = b[22]
 	h.Path.Len = int(b[23])
+	h.Held = binary.BigEndian.Uint16(b[24:])
 	rest := b[Bytes:]
 	if h.Path.Len > MaxPath || len(rest) < 4*h.Path.Len {
 		return Header{}, nil, ErrPath
@@ -178,6 +182,9 @@
 // Clamp8 returns n as far as a byte of the header holds it.
 func Clamp8(n int) uint8 { return uint8(min(max(n, 0), math.MaxUint8)) }
 
+// Millis returns a time in milliseconds as far as the header holds it.
+func Millis(d time.Duration) uint16 { return uint16(min(max(d.Milliseconds(), 0), math.MaxUint16)) }
+
 // Tenths returns a rate in the unit of ColdRate, at least one where the rate is above zero.
 func Tenths(rate float64) uint16 {
 	if rate <= 0 {
--- a/encap/encap_test.go
+++ b/encap/encap_test.go
@@ -22,6 +22,7 @@
 		Load:     rapid.Byte().Draw(t, "load"),
 		Waiting:  rapid.Byte().Draw(t, "waiting"),
 		ColdRate: rapid.Uint16().Draw(t, "cold"),
+		Held:     rapid.Uint16().Draw(t, "held"),
 		Aim:      rapid.Uint16().Draw(t, "aim"),
 		Service:  rapid.Uint32().Draw(t, "service"),
 		Origin:   [4]byte{10, 0, 0, rapid.Byte().Draw(t, "origin")},
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -69,6 +70,8 @@
 	Reset    bool
 	Returned bool // a target sent the packet back because it does not accept or hold the flow
 	Copy     int  // of a SYN: 0 for the first, then the number of the repetition
+
+	Held time.Duration // how long the balancer kept the packet before it could decide
 }
 
 // Opens reports whether a caller's packet asks for a new flow.
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -240,6 +240,7 @@
 		ColdRate: float64(h.ColdRate) / 10,
 		Priority: h.Priority,
 		Aim:      time.Duration(h.Aim) * time.Millisecond,
+		Held:     time.Duration(h.Held) * time.Millisecond,
 	}, now)
 	newFlows[verdict].Inc()
 	switch verdict {
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -95,18 +95,19 @@
 	b.mu.Unlock()
 	b.heldMu.Lock()
 	defer b.heldMu.Unlock()
-	for _, packet := range due {
-		b.decideAgain(b.heldOut, packet)
+	for _, held := range due {
+		b.decideAgain(b.heldOut, held.packet, b.clock.now()-held.at)
 	}
 	b.heldOut.flush()
 }
 
-// decideAgain decides about a packet that was held.
-func (b *Balancer) decideAgain(out *outboxes, packet []byte) {
+// decideAgain decides about a packet that was held for some time.
+func (b *Balancer) decideAgain(out *outboxes, packet []byte, held time.Duration) {
 	p, err := platform.DecodePacket(packet)
 	if err != nil {
 		return // it was readable when it was held
 	}
+	p.Held = held
 	b.mu.Lock()
 	d := b.dispatcher.FromCaller(&p, b.clock.now())
 	b.mu.Unlock()
@@ -121,7 +122,7 @@
 	defer b.mu.Unlock()
 	switch d.Cause {
 	case dispatch.CauseNoView:
-		b.held.untilView(packet)
+		b.held.untilView(p.FromCaller(), packet, now)
 	case dispatch.CauseMissPending:
 		b.held.untilFound(p.FromCaller(), packet, true, now)
 		b.config.Confirm()
@@ -213,7 +214,7 @@
 		held := b.held.ofFlow(p.FromCaller())
 		b.mu.Unlock()
 		for _, packet := range held {
-			b.decideAgain(out, packet)
+			b.decideAgain(out, packet, 0)
 		}
 		return
 	}
--- a/forward/held.go
+++ b/forward/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/cowslipward/cowslipward/flow"
@@ -20,7 +21,7 @@
 
 // heldPackets are packets about which a fresher view or the end of a search decides.
 type heldPackets struct {
-	early [][]byte // before the first view
+	early []heldPacket // before the first view
 	flows map[flow.Key]*heldFlow
 }
 
@@ -30,10 +31,24 @@
 	unknown bool // no target holds the flow by the present view
 }
 
-// untilView keeps a packet until there is a view.
-func (h *heldPackets) untilView(packet []byte) {
+// heldPacket is a packet and the steady time since when it is held.
+type heldPacket struct {
+	key    flow.Key
+	packet []byte
+	at     time.Duration
+}
+
+// untilView keeps a packet until there is a view. The latest packet of a flow takes the place of an earlier one.
+func (h *heldPackets) untilView(key flow.Key, packet []byte, now time.Duration) {
+	next := heldPacket{key: key, packet: bytes.Clone(packet), at: now}
+	for i := range h.early {
+		if h.early[i].key == key {
+			h.early[i] = next
+			return
+		}
+	}
 	if len(h.early) < maxEarly {
-		h.early = append(h.early, bytes.Clone(packet))
+		h.early = append(h.early, next)
 	}
 }
 
@@ -68,18 +83,20 @@
 
 // due takes the packets about which a view that was confirmed at the steady time known can decide, and forgets those
 // that waited for too long.
-func (h *heldPackets) due(hasView bool, known, now time.Duration) [][]byte {
+func (h *heldPackets) due(hasView bool, known, now time.Duration) []heldPacket {
 	if !hasView {
 		return nil
 	}
-	list := h.early
+	list := slices.DeleteFunc(h.early, func(e heldPacket) bool { return now-e.at > heldLife })
 	h.early = nil
 	for key, held := range h.flows {
 		switch {
 		case now-held.at > heldLife:
 			delete(h.flows, key)
 		case held.unknown && known > held.at:
-			list = append(list, held.packets...)
+			for _, packet := range held.packets {
+				list = append(list, heldPacket{key: key, packet: packet, at: held.at})
+			}
 			delete(h.flows, key)
 		}
 	}
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -73,6 +73,12 @@
 	ColdRate float64 // new flows a second that the cold target bears; 0 is no limit
 	Priority uint8
 	Aim      time.Duration // within which an answer is in time
+	Held     time.Duration // how long the balancer kept the SYN
+}
+
+// age returns how long ago the caller sent its first SYN, as far as the copy tells.
+func (o *Offer) age() time.Duration {
+	return copyAge[min(max(o.Copy, 0), len(copyAge)-1)] + o.Held
 }
 
 // request tells how far a flow is.
@@ -219,11 +225,9 @@
 // canWait reports whether the flow would get a slot before its caller gives the attempt up.
 func (g *Gate) canWait(o *Offer, now time.Duration) bool {
 	ahead := time.Duration(len(g.waiting.items) + 1)
-	return ageOf(o.Copy)+ahead*g.work/time.Duration(g.slots) < attemptLimit
+	return o.age()+ahead*g.work/time.Duration(g.slots) < attemptLimit
 }
 
-func ageOf(copies int) time.Duration { return copyAge[min(max(copies, 0), len(copyAge)-1)] }
-
 func (g *Gate) accept(o *Offer, now time.Duration) {
 	s := &state{phase: requestOpening, since: now}
 	g.flows.Put(o.Key, s, now)
--- a/targetgate/wait.go
+++ b/targetgate/wait.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cowslipward/cowslipward/flow"
 )
 
 // waiter is a new flow that waits for a slot.
@@ -26,7 +24,7 @@
 			return
 		}
 	}
-	w.items = append(w.items, waiter{offer: *o, born: now - ageOf(o.Copy)})
+	w.items = append(w.items, waiter{offer: *o, born: now - o.age()})
 }
 
 // expire drops flows whose caller has given the attempt up.
@@ -66,8 +64,3 @@
 	w.items[i] = w.items[len(w.items)-1]
 	w.items = w.items[:len(w.items)-1]
 }
-
-// has reports whether the flow waits.
-func (w *waitList) has(key flow.Key) bool {
-	return slices.ContainsFunc(w.items, func(i waiter) bool { return i.offer.Key == key })
-}
--- a/viewsync/read.go
+++ b/viewsync/read.go
@@ -20,6 +20,8 @@
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = 400 * time.Millisecond
+	// startRetry is the shortest pause between two calls of a process without any view, which can serve nothing.
+	startRetry = 40 * time.Millisecond
 	// confirmPause is the least time between two confirmations that were asked for.
 	confirmPause = 100 * time.Millisecond
 	// readerAnswer is how long a process waits for the reader to confirm the view.
@@ -44,13 +46,17 @@
 	for ctx.Err() == nil {
 		err := s.readWhole(ctx)
 		if err == nil {
+			s.push() // peers that started without the store wait for it too
 			return
 		}
 		s.noteFailure(err)
 		if s.fetchFromAnyPeer(ctx) {
 			return
 		}
-		sleep(ctx, retryMin+rand.N(retryMax-retryMin))
+		sleep(ctx, startRetry+rand.N(startRetry))
+		if s.revision() > 0 {
+			return // a peer sent its view
+		}
 	}
 }
 
