A fault soak of the packet path, and a demo under planned changes

Real processes on loopback under signals, a proxy before the store, crashing and draining targets, changes and failure domains out; callers keep using open flows. The soak checks wrong services, duplicated and lost requests, altered packets, broken flows and flows in domains that are out, and that service is back after the faults. make soak SEED=n, a short seed in the tests, make demo-packets.

--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,13 @@
 GO      ?= go
 TOOL    := $(GO) tool -modfile=tools/go.mod
 BIN     := bin
-PROGRAMS := cowslip-balancer cowslip-agent cowslipctl cowslip-standin cowslip-load
+PROGRAMS := cowslip-balancer cowslip-agent cowslip-l4 cowslipctl cowslip-standin cowslip-load
 DEPLOYMENT ?= ballyrath
 GO_FILES := $(shell git ls-files '*.go' | grep -v '^gen/')
 
 export CGO_ENABLED = 1
 
-.PHONY: all build format check-format lint test unit race fuzz scenarios scenario known-red demo bench capacity generate
+.PHONY: all build format check-format lint test unit race fuzz scenarios scenario known-red demo demo-packets soak bench capacity generate
 
 all: build
 
@@ -77,6 +77,17 @@
 demo: build
 	@$(BIN)/cowslip-load demo --deployment $(DEPLOYMENT)
 
+# demo-packets shows the packet path under planned changes.
+demo-packets: build
+	@$(BIN)/cowslip-load packets
+
+SEED   ?= 1
+LENGTH ?= 20s
+
+# soak runs the packet path under random faults: make soak SEED=7 LENGTH=60s
+soak: build
+	@$(BIN)/cowslip-load soak --seed $(SEED) --length $(LENGTH)
+
 # generate renews the committed protobuf code; it needs protoc (Debian package protobuf-compiler).
 generate:
 	@mkdir -p $(BIN)
--- /dev/null
+++ b/cmd/cowslip-load/soak.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cowslipward/cowslipward/internal/soak"
+)
+
+// demoPacketsLength is how long the demo of the packet path makes changes.
+const demoPacketsLength = 25 * time.Second
+
+func packetsCommand(f *flags) *cobra.Command {
+	return &cobra.Command{
+		Use:   "packets",
+		Short: "Show the packet path under planned changes",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return f.soak(c, func(r *soak.Run) { r.Planned, r.Length = true, demoPacketsLength })
+		},
+	}
+}
+
+func soakCommand(f *flags) *cobra.Command {
+	var length time.Duration
+	var net uint8
+	command := &cobra.Command{
+		Use:   "soak",
+		Short: "Run the packet path as real processes under random faults",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return f.soak(c, func(r *soak.Run) { r.Length, r.Net = length, net })
+		},
+	}
+	command.Flags().DurationVar(&length, "length", 20*time.Second, "how long faults are injected")
+	command.Flags().Uint8Var(&net, "net", 2, "second byte of the loopback addresses, for runs beside each other")
+	return command
+}
+
+// soak runs a deployment of the packet path in a directory of its own, which stays where the run fails.
+func (f *flags) soak(c *cobra.Command, change func(*soak.Run)) error {
+	dir, err := os.MkdirTemp("", "cowslip-soak-")
+	if err != nil {
+		return err
+	}
+	run := soak.Default(filepath.Join(f.bin, "cowslip-l4"), dir, f.seed, c.OutOrStdout())
+	change(&run)
+	if err := run.Do(c.Context()); err != nil {
+		c.PrintErrln("logs and settings:", dir)
+		return err
+	}
+	return os.RemoveAll(dir)
+}
--- /dev/null
+++ b/internal/soak/bed.go
@@ -0,0 +1,371 @@
+// Package soak runs the packet path as real processes on loopback, injects faults from outside them and checks the
+// promises of the system while it runs, from what callers and targets see.
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/platform/platformtest"
+)
+
+// Ports of the processes. Each VM has a loopback address of its own.
+const (
+	packetsPort = 18500
+	tunnelPort  = 18501
+	peersPort   = 18502
+	readyPort   = 18503
+	metricsPort = 18504
+	outPort     = 18505
+	appPort     = 18506
+)
+
+const (
+	probePeriod = 200 * time.Millisecond // of the routers
+	startWait   = 10 * time.Second
+)
+
+// Options describe a deployment.
+type Options struct {
+	Program   string // path of cowslip-l4
+	Dir       string // for settings and logs
+	Seed      uint64
+	Domains   []string
+	Balancers int
+	Targets   map[string]int // by service
+	Slots     int
+	Work      time.Duration // of a request
+	Net       byte          // second byte of all loopback addresses, so that runs can stand beside each other
+}
+
+// vm is a VM with one process, and the target beside it where it runs an agent.
+type vm struct {
+	name    string
+	role    string
+	ip      netip.Addr
+	domain  string
+	service string
+	store   *proxy // balancers: the way to the store
+	target  *platformtest.Target
+	id      int // of the target's incarnation
+	command *exec.Cmd
+	exited  chan struct{}
+	ready   bool
+}
+
+// Bed is a running deployment.
+type Bed struct {
+	Options
+	Store   *platformtest.Store
+	Ledger  *platformtest.Ledger
+	mu      sync.Mutex
+	vms     []*vm
+	version int
+	next    int // of target IDs
+	closed  chan struct{}
+}
+
+// Third bytes of the loopback addresses.
+const (
+	netBalancers = 1
+	netTargets   = 2
+	netCallers   = 3
+)
+
+// ip returns the loopback address of the nth VM of a kind.
+func (o *Options) ip(kind byte, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, o.Net, kind, byte(n + 1)})
+}
+
+// services name the routes: service n is reached at 198.18.0.n.
+func serviceAddress(n int) flow.Endpoint {
+	return flow.Endpoint{IP: [4]byte{198, 18, 0, byte(n + 1)}, Port: 443}
+}
+
+// Start starts a deployment and waits until all balancers are ready.
+func Start(o Options, services []string) (*Bed, error) {
+	store, err := platformtest.NewStore()
+	if err != nil {
+		return nil, err
+	}
+	b := &Bed{Options: o, Store: store, Ledger: platformtest.NewLedger(), closed: make(chan struct{})}
+	b.publishConfig(services)
+	if err := b.startAll(services); err != nil {
+		b.Close()
+		return nil, err
+	}
+	go b.probe()
+	return b, b.awaitReady()
+}
+
+func (b *Bed) startAll(services []string) error {
+	n := 0
+	for _, service := range services {
+		for range b.Targets[service] {
+			v := &vm{name: fmt.Sprintf("side-%d", n), role: "agent", service: service, domain: b.Domains[n%len(b.Domains)]}
+			v.ip = b.ip(netTargets, n)
+			if err := b.addTarget(v); err != nil {
+				return err
+			}
+			b.vms = append(b.vms, v)
+			n++
+		}
+	}
+	for n := range b.Balancers {
+		v := &vm{name: fmt.Sprintf("entry-%d", n), role: "balancer", domain: b.Domains[n%len(b.Domains)]}
+		v.ip = b.ip(netBalancers, n)
+		link, err := newProxy(b.Store.Address())
+		if err != nil {
+			return err
+		}
+		v.store = link
+		b.vms = append(b.vms, v)
+	}
+	for _, v := range b.vms {
+		if err := b.start(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addTarget starts a target beside an agent and registers it.
+func (b *Bed) addTarget(v *vm) error {
+	b.next++
+	v.id = b.next
+	c := platformtest.TargetConfig{ID: v.targetID(), Service: v.service, Domain: v.domain, Slots: b.Slots, Work: b.Work}
+	target, err := platformtest.NewTarget(c, v.address(appPort), v.address(outPort), b.Ledger)
+	if err != nil {
+		return err
+	}
+	v.target = target
+	b.Store.Put("servers/"+v.targetID(), target.Entry(v.address(appPort), "ready"))
+	return nil
+}
+
+func (v *vm) targetID() string { return fmt.Sprintf("i-%d", v.id) }
+
+func (v *vm) address(port int) netip.AddrPort { return netip.AddrPortFrom(v.ip, uint16(port)) }
+
+// publishConfig writes a new version of the configuration with a route to each service.
+func (b *Bed) publishConfig(services []string) {
+	b.version++
+	type route struct {
+		Name      string `json:"name"`
+		Host      string `json:"host"`
+		Prefix    string `json:"prefix"`
+		Type      string `json:"type"`
+		TimeoutMs int    `json:"timeoutMs"`
+		SloMs     int    `json:"sloMs"`
+		Service   string `json:"service"`
+	}
+	var routes []route
+	var named []map[string]any
+	for n, service := range services {
+		address := serviceAddress(n).AddrPort()
+		routes = append(routes, route{
+			Name: "r-" + service, Host: address.Addr().String(), Prefix: fmt.Sprintf("/%d/", address.Port()), Type: "safe",
+			TimeoutMs: 4000 + b.version, SloMs: 250, Service: service,
+		})
+		named = append(named, map[string]any{"name": service})
+	}
+	text, err := json.Marshal(map[string]any{
+		"version": b.version, "routes": routes, "services": named, "limits": map[string]int{"idleTimeoutMs": 15000},
+	})
+	if err != nil {
+		panic(err) // the value above always encodes
+	}
+	b.Store.Put("op/config", string(text))
+}
+
+// settings returns the settings file of a VM's process.
+func (b *Bed) settings(v *vm) map[string]any {
+	s := map[string]any{
+		"vm": v.name, "failure_domain": v.domain, "packets": v.address(packetsPort), "tunnel": v.address(tunnelPort),
+		"ready": v.address(readyPort), "metrics": v.address(metricsPort), "stop_delay": "1200ms",
+		"log": map[string]any{"level": "info", "rate": 1000},
+	}
+	if v.role == "agent" {
+		s["service"], s["target"], s["outbound"] = v.service, v.address(appPort), v.address(outPort)
+		return s
+	}
+	s["peers"], s["store"], s["domain_out_flows"] = v.address(peersPort), v.store.address(), "keep"
+	s["seeds"] = []netip.AddrPort{
+		netip.AddrPortFrom(b.ip(netBalancers, 0), peersPort),
+		netip.AddrPortFrom(b.ip(netBalancers, 1), peersPort),
+	}
+	return s
+}
+
+// start starts the process of a VM.
+func (b *Bed) start(v *vm) error {
+	text, err := json.Marshal(b.settings(v))
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(b.Dir, v.name+".json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(b.Dir, v.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := exec.Command(b.Program, v.role, "--settings", file)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = command.Wait() // how it ended shows in its log
+		close(exited)
+	}()
+	b.mu.Lock()
+	v.command, v.exited = command, exited
+	b.mu.Unlock()
+	return nil
+}
+
+// signal sends a signal to the process of a VM, if it runs.
+func (b *Bed) signal(v *vm, s syscall.Signal) {
+	b.mu.Lock()
+	command := v.command
+	b.mu.Unlock()
+	if command != nil {
+		_ = command.Process.Signal(s) // it may have ended
+	}
+}
+
+// probe asks the balancers whether they are ready, as the platform's routers do: two misses take one out.
+func (b *Bed) probe() {
+	client := &http.Client{Timeout: probePeriod}
+	misses := make(map[*vm]int)
+	for {
+		select {
+		case <-b.closed:
+			return
+		case <-time.After(probePeriod):
+		}
+		for _, v := range b.vms {
+			if v.role != "balancer" {
+				continue
+			}
+			if isReady(client, v) {
+				misses[v] = 0
+			} else {
+				misses[v]++
+			}
+			b.mu.Lock()
+			v.ready = misses[v] == 0 || (v.ready && misses[v] < 2)
+			b.mu.Unlock()
+		}
+	}
+}
+
+func isReady(client *http.Client, v *vm) bool {
+	answer, err := client.Get("http://" + v.address(readyPort).String() + "/cowslipward/ready")
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// route picks a balancer by the hash of the flow, mod the ready ones.
+func (b *Bed) route(key flow.Key) (netip.AddrPort, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ready []*vm
+	for _, v := range b.vms {
+		if v.ready {
+			ready = append(ready, v)
+		}
+	}
+	if len(ready) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return ready[key.Hash()%uint64(len(ready))].address(packetsPort), true
+}
+
+func (b *Bed) awaitReady() error {
+	end := time.Now().Add(startWait)
+	for time.Now().Before(end) {
+		if b.readyCount() == b.Balancers {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("%d of %d balancers are ready after %s", b.readyCount(), b.Balancers, startWait)
+}
+
+func (b *Bed) readyCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, v := range b.vms {
+		if v.ready {
+			n++
+		}
+	}
+	return n
+}
+
+// holder returns the target that holds the flow, or nil.
+func (b *Bed) holder(key flow.Key) *vm {
+	for _, v := range b.vms {
+		b.mu.Lock()
+		target := v.target
+		b.mu.Unlock()
+		if target != nil && target.Lives(key) {
+			return v
+		}
+	}
+	return nil
+}
+
+// Close ends all processes that the bed started, by their IDs, and waits for them.
+func (b *Bed) Close() {
+	close(b.closed)
+	for _, v := range b.vms {
+		if v.command != nil {
+			b.signal(v, syscall.SIGKILL)
+			<-v.exited
+		}
+		if v.target != nil {
+			v.target.Close()
+		}
+		if v.store != nil {
+			v.store.close()
+		}
+	}
+	b.Store.Close()
+}
+
+// Grep returns the log lines of all VMs that hold the text, for a report.
+func (b *Bed) Grep(text string) []string {
+	var found []string
+	for _, v := range b.vms {
+		log, err := os.ReadFile(filepath.Join(b.Dir, v.name+".log"))
+		if err != nil {
+			continue
+		}
+		for line := range bytes.Lines(log) {
+			if bytes.Contains(line, []byte(text)) {
+				found = append(found, v.name+": "+string(bytes.TrimSpace(line)))
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,223 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// faults injects faults one after the other, and several at once.
+type faults struct {
+	bed      *Bed
+	load     *load
+	services []string
+	kinds    []fault
+	random   *rand.Rand
+	report   func(format string, args ...any)
+	group    sync.WaitGroup
+	busy     sync.Map // VMs under a fault
+}
+
+// fault is one kind of fault. It returns when it is over.
+type fault struct {
+	name    string
+	planned bool
+	run     func(f *faults, v *vm, last time.Duration)
+	role    string // of the VM; empty: none
+}
+
+var kinds = []fault{
+	{"kill", false, (*faults).kill, "balancer"},
+	{"kill", false, (*faults).kill, "agent"},
+	{"restart", true, (*faults).restart, "balancer"},
+	{"pause", false, (*faults).pause, "balancer"},
+	{"pause", false, (*faults).pause, "agent"},
+	{"reload", true, (*faults).reload, "balancer"},
+	{"crash target", false, (*faults).crashTarget, "agent"},
+	{"drain target", true, (*faults).drainTarget, "agent"},
+	{"harm the way to the store", false, (*faults).harmStore, "balancer"},
+	{"refuse all calls of the store", false, (*faults).refuseStore, ""},
+	{"forget history", false, (*faults).forgetHistory, ""},
+	{"change configuration", true, (*faults).changeConfig, ""},
+	{"take a failure domain out", true, (*faults).takeOut, ""},
+}
+
+// run injects faults until the context ends, then waits until all are over.
+func (f *faults) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		kind := f.kinds[f.random.IntN(len(f.kinds))]
+		last := time.Duration(300+f.random.IntN(2500)) * time.Millisecond
+		v, ok := f.pick(kind.role)
+		if ok {
+			f.inject(kind, v, last)
+		}
+		pause(ctx, time.Duration(200+f.random.IntN(1500))*time.Millisecond)
+	}
+	f.group.Wait()
+}
+
+// pick returns a VM of the role that is under no fault. One VM of each role and service is always spared.
+func (f *faults) pick(role string) (*vm, bool) {
+	if role == "" {
+		return nil, true
+	}
+	free := make(map[string][]*vm)
+	for _, v := range f.bed.vms {
+		if _, busy := f.busy.Load(v); v.role == role && !busy {
+			free[v.service] = append(free[v.service], v)
+		}
+	}
+	var candidates []*vm
+	for _, service := range append([]string{""}, f.services...) {
+		if len(free[service]) > 1 {
+			candidates = append(candidates, free[service]...)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	return candidates[f.random.IntN(len(candidates))], true
+}
+
+func (f *faults) inject(kind fault, v *vm, last time.Duration) {
+	where := ""
+	if v != nil {
+		where = " " + v.name
+		f.busy.Store(v, true)
+	}
+	f.report("fault %s%s for %s", kind.name, where, last)
+	f.group.Go(func() {
+		if !kind.planned {
+			f.load.noteFault(time.Now().Add(last + calmAfter))
+		}
+		kind.run(f, v, last)
+		if !kind.planned {
+			f.load.noteFault(time.Now())
+		}
+		if v != nil {
+			f.busy.Delete(v)
+		}
+	})
+}
+
+func (f *faults) kill(v *vm, last time.Duration) {
+	f.bed.signal(v, syscall.SIGKILL)
+	<-v.exited
+	time.Sleep(last)
+	f.startAgain(v)
+}
+
+func (f *faults) restart(v *vm, _ time.Duration) {
+	f.bed.signal(v, syscall.SIGTERM)
+	select {
+	case <-v.exited:
+	case <-time.After(graceLimit):
+		f.report("VIOLATION %s did not stop within %s", v.name, graceLimit)
+		f.bed.Ledger.Violate(v.name + " did not stop in time")
+		f.bed.signal(v, syscall.SIGKILL)
+		<-v.exited
+	}
+	f.startAgain(v)
+}
+
+// graceLimit is how long a process may take to stop.
+const graceLimit = 6 * time.Second
+
+func (f *faults) startAgain(v *vm) {
+	if err := f.bed.start(v); err != nil {
+		f.report("VIOLATION %s did not start: %s", v.name, err)
+		f.bed.Ledger.Violate(v.name + " did not start")
+	}
+}
+
+func (f *faults) pause(v *vm, last time.Duration) {
+	f.bed.signal(v, syscall.SIGSTOP)
+	time.Sleep(last)
+	f.bed.signal(v, syscall.SIGCONT)
+}
+
+func (f *faults) reload(v *vm, _ time.Duration) { f.bed.signal(v, syscall.SIGHUP) }
+
+func (f *faults) crashTarget(v *vm, last time.Duration) {
+	f.bed.mu.Lock()
+	target, id := v.target, v.targetID()
+	f.bed.mu.Unlock()
+	target.Close()
+	time.Sleep(last)
+	f.replace(v, id)
+}
+
+// replace starts a new target and removes the entry of the one before.
+func (f *faults) replace(v *vm, old string) {
+	f.bed.mu.Lock()
+	err := f.bed.addTarget(v)
+	f.bed.mu.Unlock()
+	f.bed.Store.Remove("servers/" + old)
+	if err != nil {
+		f.report("VIOLATION target on %s did not start: %s", v.name, err)
+		f.bed.Ledger.Violate("a target did not start")
+	}
+}
+
+// drainTarget lets a target leave as planned: its flows go on for the time that the platform gives it.
+func (f *faults) drainTarget(v *vm, _ time.Duration) {
+	f.bed.mu.Lock()
+	target, id := v.target, v.targetID()
+	f.bed.mu.Unlock()
+	f.bed.Store.Put("servers/"+id, target.Entry(v.address(appPort), "draining"))
+	time.Sleep(drainTime)
+	target.Close()
+	f.replace(v, id)
+}
+
+const drainTime = 3 * time.Second
+
+func (f *faults) harmStore(v *vm, last time.Duration) {
+	v.store.set(mode(1 + f.random.IntN(int(modeCount)-1)))
+	time.Sleep(last)
+	v.store.set(modePass)
+}
+
+func (f *faults) refuseStore(_ *vm, last time.Duration) {
+	f.bed.Store.SetRefuse(func(*http.Request) int { return http.StatusServiceUnavailable })
+	time.Sleep(last)
+	f.bed.Store.SetRefuse(nil)
+}
+
+func (f *faults) forgetHistory(*vm, time.Duration) { f.bed.Store.Forget() }
+
+func (f *faults) changeConfig(*vm, time.Duration) {
+	f.bed.mu.Lock()
+	defer f.bed.mu.Unlock()
+	f.bed.publishConfig(f.services)
+}
+
+// takeOut takes a failure domain out for some seconds. New flows must stay away within the bound while nothing else
+// keeps the news from the balancers.
+func (f *faults) takeOut(*vm, time.Duration) {
+	if _, busy := f.busy.LoadOrStore("out", true); busy {
+		return
+	}
+	defer f.busy.Delete("out")
+	domain := f.bed.Domains[f.random.IntN(len(f.bed.Domains))]
+	f.bed.Store.Put("op/evacuate/"+domain, "{}")
+	f.setOut(domain, time.Now())
+	time.Sleep(outTime)
+	f.setOut(domain, time.Time{})
+	f.bed.Store.Remove("op/evacuate/" + domain)
+}
+
+const outTime = 8 * time.Second
+
+func (f *faults) setOut(domain string, since time.Time) {
+	f.bed.mu.Lock()
+	defer f.bed.mu.Unlock()
+	for _, v := range f.bed.vms {
+		if v.target != nil && v.domain == domain {
+			v.target.SetOut(since, func() bool { return time.Since(time.Unix(0, f.load.faulted.Load())) > calmAfter })
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/load.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cowslipward/cowslipward/platform/platformtest"
+)
+
+const (
+	deadline   = 4 * time.Second
+	retryPause = 50 * time.Millisecond
+	// calmAfter is how long after an unplanned fault a flow may still break.
+	calmAfter = 4 * time.Second
+)
+
+// load is what the callers do.
+type load struct {
+	bed      *Bed
+	services []string
+	caller   *platformtest.Caller
+	faulted  atomic.Int64 // end of the last unplanned fault, Unix nanoseconds
+	broken   atomic.Int64
+	report   func(format string, args ...any)
+	seconds  [maxSeconds]atomic.Int64 // requests served, by second of the run
+	started  time.Time
+	ids      atomic.Int64
+}
+
+// maxSeconds bounds the length of a run.
+const maxSeconds = 3600
+
+func newLoad(b *Bed, services []string, report func(format string, args ...any)) (*load, error) {
+	l := &load{bed: b, services: services, report: report, started: time.Now()}
+	address := netip.AddrPortFrom(b.ip(netCallers, 0), packetsPort)
+	caller, err := platformtest.NewCaller(address, b.route, b.Ledger)
+	if err != nil {
+		return nil, err
+	}
+	l.caller = caller
+	return l, nil
+}
+
+// run keeps callers busy until the context ends: half of them on long flows, half on a flow for each request.
+func (l *load) run(ctx context.Context, callers int) {
+	var group sync.WaitGroup
+	for n := range callers {
+		random := rand.New(rand.NewPCG(l.bed.Seed, uint64(n)))
+		group.Go(func() {
+			for ctx.Err() == nil {
+				l.visit(ctx, random, n%len(l.services), n%2 == 0)
+			}
+		})
+	}
+	group.Wait()
+	l.caller.Close()
+}
+
+// visit opens a flow and sends one request, or many with pauses between them.
+func (l *load) visit(ctx context.Context, random *rand.Rand, service int, long bool) {
+	f, err := l.caller.Open(ctx, serviceAddress(service))
+	if err != nil {
+		pause(ctx, retryPause)
+		return
+	}
+	for more := true; more && ctx.Err() == nil; more = long {
+		if !l.request(ctx, f, l.services[service], random.IntN(4) > 0) {
+			return
+		}
+		pause(ctx, time.Duration(50+random.IntN(300))*time.Millisecond)
+	}
+	f.Close()
+}
+
+// request sends one request and reports whether the flow goes on.
+func (l *load) request(ctx context.Context, f *platformtest.Flow, service string, repeatable bool) bool {
+	id := fmt.Sprintf("q-%d", l.ids.Add(1))
+	l.bed.Ledger.Expect(id, service)
+	got, err := f.Do(ctx, id, repeatable, deadline)
+	if ctx.Err() != nil {
+		return false
+	}
+	l.bed.Ledger.Done(id, err == nil)
+	switch {
+	case err == nil && got != service:
+		l.report("VIOLATION wrong_service request %s for %s was answered by %s", id, service, got)
+		l.broken.Add(1)
+	case errors.Is(err, platformtest.ErrReset):
+		l.judgeReset(f, id)
+	case err == nil:
+		if second := int(time.Since(l.started).Seconds()); second < maxSeconds {
+			l.seconds[second].Add(1)
+		}
+	}
+	return err == nil
+}
+
+// judgeReset tells a flow that ended with its target from one that was broken.
+func (l *load) judgeReset(f *platformtest.Flow, id string) {
+	holder := l.bed.holder(f.Key())
+	if holder == nil || time.Since(time.Unix(0, l.faulted.Load())) < calmAfter {
+		return
+	}
+	l.broken.Add(1)
+	l.report("VIOLATION broken_flow %s request %s was reset while %s holds it", f.Key(), id, holder.targetID())
+}
+
+// noteFault tells that an unplanned fault lasts until the time.
+func (l *load) noteFault(until time.Time) {
+	for {
+		held := l.faulted.Load()
+		if until.UnixNano() <= held || l.faulted.CompareAndSwap(held, until.UnixNano()) {
+			return
+		}
+	}
+}
+
+// rate returns the requests served a second in a span of the run.
+func (l *load) rate(from, to time.Duration) float64 {
+	sum := int64(0)
+	for second := int(from.Seconds()); second < int(to.Seconds()) && second < maxSeconds; second++ {
+		sum += l.seconds[second].Load()
+	}
+	return float64(sum) / max(1, (to-from).Seconds())
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Run describes a soak.
+type Run struct {
+	Options
+	Services []string
+	Callers  int
+	Length   time.Duration // of the faults
+	Planned  bool          // only what operators do: restarts, drains, changes, a failure domain out
+	Out      io.Writer
+}
+
+const (
+	steadyTime  = 3 * time.Second
+	recoverTime = 12 * time.Second // within which service is back after the last fault
+	measureTime = 3 * time.Second
+	// recoveredShare is the least share of the steady rate that is served after the faults.
+	recoveredShare = 0.5
+)
+
+// Default returns the usual deployment: a few dozen processes.
+func Default(program, dir string, seed uint64, out io.Writer) Run {
+	return Run{
+		Options: Options{
+			Program: program, Dir: dir, Seed: seed, Domains: []string{"a", "b", "c"}, Balancers: 4,
+			Targets: map[string]int{"bench": 6, "archive": 3}, Slots: 6, Work: 20 * time.Millisecond, Net: 2,
+		},
+		Services: []string{"bench", "archive"},
+		Callers:  60,
+		Length:   20 * time.Second,
+		Out:      out,
+	}
+}
+
+// Do runs the soak and returns an error for each promise that was broken.
+func (r Run) Do(ctx context.Context) error {
+	bed, err := Start(r.Options, r.Services)
+	if err != nil {
+		return err
+	}
+	defer bed.Close()
+	var mu sync.Mutex
+	started := time.Now()
+	report := func(format string, args ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		_, _ = fmt.Fprintf(r.Out, "%6.2fs %s\n", time.Since(started).Seconds(), fmt.Sprintf(format, args...))
+	}
+	l, err := newLoad(bed, r.Services, report)
+	if err != nil {
+		return err
+	}
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	group.Go(func() { l.run(loadCtx, r.Callers) })
+	pause(ctx, steadyTime+time.Second)
+	f := &faults{bed: bed, load: l, services: r.Services, kinds: r.kinds(), random: rand.New(rand.NewPCG(r.Seed, 0)), report: report}
+	faultCtx, stopFaults := context.WithTimeout(ctx, r.Length)
+	f.run(faultCtx)
+	stopFaults()
+	report("faults are over")
+	faultsEnd := time.Since(l.started)
+	pause(ctx, recoverTime+measureTime)
+	stopLoad()
+	group.Wait()
+	return r.judge(bed, l, faultsEnd)
+}
+
+// kinds returns the faults of the run.
+func (r Run) kinds() []fault {
+	return slices.DeleteFunc(slices.Clone(kinds), func(k fault) bool { return r.Planned && !k.planned })
+}
+
+// judge prints the result and returns what was broken.
+func (r Run) judge(bed *Bed, l *load, faultsEnd time.Duration) error {
+	counts, violations := bed.Ledger.Snapshot()
+	before := l.rate(time.Second, steadyTime)
+	after := l.rate(faultsEnd+recoverTime, faultsEnd+recoverTime+measureTime)
+	_, _ = fmt.Fprintf(r.Out, "RESULT seed=%d ok=%d failed=%d broken_flows=%d wrong_service=%d duplicated=%d lost=%d altered=%d to_domain_out=%d rate_before=%.0f rate_after=%.0f\n",
+		r.Seed, counts.OK, counts.Failed, l.broken.Load(), counts.WrongService, counts.Duplicated, counts.Lost, counts.Altered, counts.ToDomainOut, before, after)
+	var errs []error
+	for _, violation := range violations {
+		errs = append(errs, errors.New(violation))
+	}
+	if broken := l.broken.Load(); broken > 0 {
+		errs = append(errs, fmt.Errorf("%d flows were broken", broken))
+	}
+	if before == 0 || after < recoveredShare*before {
+		errs = append(errs, fmt.Errorf("%.0f requests a second are served %s after the faults, %.0f before", after, recoverTime, before))
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,38 @@
+package soak_test
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipward/cowslipward/internal/soak"
+)
+
+// build builds the daemon.
+func build(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "cowslip-l4")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/cowslipward/cowslipward/cmd/cowslip-l4").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return program
+}
+
+// regressions are seeds that failed once, each with its cause.
+var regressions = map[uint64]string{}
+
+// TestSoak runs the real programs under a short series of faults. "make soak SEED=n" runs longer ones.
+func TestSoak(t *testing.T) {
+	program := build(t)
+	seeds := []uint64{1}
+	for seed := range regressions {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		run := soak.Default(program, t.TempDir(), seed, t.Output())
+		run.Length = 8 * time.Second
+		require.NoError(t, run.Do(context.Background()), "seed %d", seed)
+	}
+}
