--- a/agent/upstream/client.go
+++ b/agent/upstream/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -44,9 +45,10 @@
 		config.TurnedCold = func(string) {}
 	}
 	dialer := newDialer()
+	first := &sync.Mutex{}
 	return &Client{config: config, transport: &http.Transport{
-		DialContext:            dialPlain(dialer),
-		DialTLSContext:         dialTLS(dialer),
+		DialContext:            dialPlain(dialer, first),
+		DialTLSContext:         dialTLS(dialer, first),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleTimeout,
--- a/agent/upstream/conn.go
+++ b/agent/upstream/conn.go
@@ -15,6 +15,10 @@
 type gatedConn struct {
 	net.Conn
 
+	// first is shared by all connections of a client. It is held from the check of a request to the end of its first
+	// write, so that a process that is paused in between has at most one checked request to write when it wakes.
+	first *sync.Mutex
+
 	mu     sync.Mutex
 	sealed error        // refuses further writes
 	check  func() error // asked once, right before the first byte
@@ -48,33 +52,45 @@
 
 // Write writes unless the request was given up or its check fails.
 func (c *gatedConn) Write(p []byte) (int, error) {
-	first, err := c.pass()
-	if err != nil {
+	if c.hasSent() {
+		if err := c.refusal(); err != nil {
+			return 0, err
+		}
+		return c.Conn.Write(p)
+	}
+	c.first.Lock()
+	defer c.first.Unlock()
+	if err := c.pass(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
-	if first && n == 0 && err != nil {
+	if n == 0 && err != nil {
 		c.unsend()
 	}
 	return n, err
 }
 
-// pass decides on a write and marks the request as sent.
-func (c *gatedConn) pass() (first bool, err error) {
+func (c *gatedConn) hasSent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent
+}
+
+// pass decides on the first write of a request and marks the request as sent.
+func (c *gatedConn) pass() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed != nil {
-		return false, c.sealed
+		return c.sealed
 	}
-	first = !c.sent
-	if first && c.check != nil {
+	if c.check != nil {
 		if err := c.check(); err != nil {
 			c.sealed = err
-			return false, err
+			return err
 		}
 	}
 	c.sent = true
-	return first, nil
+	return nil
 }
 
 // unsend notes that the first write failed without a byte leaving.
--- a/agent/upstream/dial.go
+++ b/agent/upstream/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -48,24 +49,24 @@
 	return fault
 }
 
-func dialPlain(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+func dialPlain(dialer *net.Dialer, first *sync.Mutex) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &gatedConn{Conn: conn}, nil
+		return &gatedConn{Conn: conn, first: first}, nil
 	}
 }
 
 // dialTLS puts the gate above TLS, so that the bytes of the handshake do not count as bytes of the request.
-func dialTLS(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+func dialTLS(dialer *net.Dialer, first *sync.Mutex) func(context.Context, string, string) (net.Conn, error) {
 	secure := &tls.Dialer{NetDialer: dialer, Config: &tls.Config{MinVersion: tls.VersionTLS12}}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := secure.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &gatedConn{Conn: conn}, nil
+		return &gatedConn{Conn: conn, first: first}, nil
 	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -168,6 +168,7 @@
 	target, id := v.target, v.targetID()
 	f.bed.mu.Unlock()
 	f.bed.Store.Put("servers/"+id, target.Entry(v.address(appPort), "draining"))
+	target.Drain()
 	time.Sleep(drainTime)
 	target.Close()
 	f.replace(v, id)
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -71,7 +71,7 @@
 	}
 	for more := true; more && ctx.Err() == nil; more = long {
 		if !l.request(ctx, f, l.services[service], random.IntN(4) > 0) {
-			return
+			break
 		}
 		pause(ctx, time.Duration(50+random.IntN(300))*time.Millisecond)
 	}
@@ -98,7 +98,7 @@
 			l.seconds[second].Add(1)
 		}
 	}
-	return err == nil
+	return err == nil && !f.Closed()
 }
 
 // judgeReset tells a flow that ended with its target from one that was broken.
