Serve the newest of the waiting flows first; take new seeds over on reload

Cause: in the overload after a final fault, the oldest of the flows that could still be in time went first and hardly made it, and the next one waited meanwhile. Settings that nothing used are gone.

--- a/cmd/cowslip-l4/agent.go
+++ b/cmd/cowslip-l4/agent.go
@@ -34,7 +34,7 @@
 			log.Error("settings_refused", "error", err)
 			return
 		}
-		log.Info("settings_unchanged", "reason", "an agent takes new settings at its next start")
+		log.Info("settings_read", "note", "an agent takes new settings over at its next start")
 	}
 	return runApp(app, &s.PacketCommon, ready, reload, log)
 }
--- a/cmd/cowslip-l4/balancer.go
+++ b/cmd/cowslip-l4/balancer.go
@@ -32,18 +32,22 @@
 	log, sink := startLog("balancer", &s.PacketCommon)
 	defer sink.Close(logCloseLimit)
 	ready := &readiness{}
+	var syncer *viewsync.Syncer
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(s, &s.PacketCommon, log, ready, &confirmation{}),
 		fx.Provide(newBalancer, newSyncer),
 		fx.Invoke(startBalancer, serveReady, servePeers, serveBalancerStatus),
+		fx.Populate(&syncer),
 	)
 	reload := func() {
-		if _, err := settings.LoadPacketBalancer(file); err != nil {
+		next, err := settings.LoadPacketBalancer(file)
+		if err != nil {
 			log.Error("settings_refused", "error", err)
 			return
 		}
-		log.Info("settings_unchanged", "reason", "a balancer takes new settings at its next start")
+		syncer.SetSeeds(next.Seeds)
+		log.Info("settings_reloaded", "seeds", next.Seeds, "note", "all but the seeds is taken over at the next start")
 	}
 	return runApp(app, &s.PacketCommon, ready, reload, log)
 }
--- a/settings/packets.go
+++ b/settings/packets.go
@@ -29,14 +29,12 @@
 // PacketBalancer holds the settings of the balancer of the packet path.
 type PacketBalancer struct {
 	PacketCommon
-	Packets    netip.AddrPort   `json:"packets"`          // UDP, packets of callers
-	Peers      netip.AddrPort   `json:"peers"`            // UDP and TCP, other balancers
-	Seeds      []netip.AddrPort `json:"seeds"`            // peers addresses of some balancers
-	Store      netip.AddrPort   `json:"store"`            // the platform's store
-	ConfigMax  Duration         `json:"config_max"`       // bound within which a configuration is in force
-	DomainOut  Duration         `json:"domain_out"`       // bound after which a failure domain that is out gets no packet
-	OutFlows   string           `json:"domain_out_flows"` // what happens to open flows in a failure domain that is out
-	ReuseAfter Duration         `json:"reuse_after"`      // an address may belong to another service this long after its user left
+	Packets   netip.AddrPort   `json:"packets"`          // UDP, packets of callers
+	Peers     netip.AddrPort   `json:"peers"`            // UDP and TCP, other balancers
+	Seeds     []netip.AddrPort `json:"seeds"`            // peers addresses of some balancers
+	Store     netip.AddrPort   `json:"store"`            // the platform's store
+	DomainOut Duration         `json:"domain_out"`       // bound after which a failure domain that is out gets no packet
+	OutFlows  string           `json:"domain_out_flows"` // what happens to open flows in a failure domain that is out
 }
 
 // PacketAgent holds the settings of the agent of the packet path.
@@ -51,9 +49,7 @@
 // Defaults of the packet path.
 const (
 	DefaultStopDelay   = 2 * time.Second
-	DefaultConfigMax   = 3 * time.Second
 	DefaultDomainOut   = 5 * time.Second
-	DefaultReuseAfter  = 2 * time.Second
 	DefaultPacketLines = 50
 )
 
@@ -84,10 +80,8 @@
 func LoadPacketBalancer(path string) (*PacketBalancer, error) {
 	s := &PacketBalancer{
 		PacketCommon: packetDefaults(),
-		ConfigMax:    Duration(DefaultConfigMax),
 		DomainOut:    Duration(DefaultDomainOut),
 		OutFlows:     OutFlowsDrop,
-		ReuseAfter:   Duration(DefaultReuseAfter),
 	}
 	document, err := read(path, s)
 	if err != nil {
--- a/targetgate/wait.go
+++ b/targetgate/wait.go
@@ -33,7 +33,8 @@
 }
 
 // best returns the index of the flow that goes next: first those that can still be answered in time, by priority and
-// then the one that waits longest; then the others in the same order.
+// then the newest, since in an overload the oldest of them would hardly make it and make the next one late too; then the
+// others by priority and age.
 func (w *waitList) best(now, work time.Duration) int {
 	best := 0
 	for i := 1; i < len(w.items); i++ {
@@ -51,8 +52,10 @@
 		return otherLate
 	case i.offer.Priority != other.offer.Priority:
 		return i.offer.Priority < other.offer.Priority
-	default:
+	case late:
 		return i.born < other.born
+	default:
+		return i.born > other.born
 	}
 }
 
