Count searched flows and lost requests not as work of a target

Change: a searched flow is work once the target shows that it holds it; a target that sends back a flow which it held has started anew, and what it worked on is forgotten.

--- a/forward/agent.go
+++ b/forward/agent.go
@@ -279,6 +279,10 @@
 		a.logFlow("request_forwarded", key, "request", platform.RequestID(platform.Payload(packet)), "load", a.gate.Load(),
 			"balancer", a.balancers[sender].address)
 	}
+	if h.Searches {
+		a.logFlow("flow_searched", key, "request", platform.RequestID(platform.Payload(packet)), "known", known,
+			"attempt", h.Attempt, "balancer", asker)
+	}
 	if known && h.Searches {
 		a.found(out, asker, key, now)
 	}
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -94,7 +94,8 @@
 type state struct {
 	phase   request
 	since   time.Duration
-	known   bool // the target sent a packet of the flow
+	known   bool          // the target sent a packet of the flow
+	heard   time.Duration // when the target last did
 	seq     uint32
 	seqSeen bool
 	asker   flow.Endpoint // balancer that wants to know whether the target holds the flow
@@ -114,6 +115,7 @@
 	heard   time.Duration // when the target was last heard of
 	offered time.Duration // when the target was last given a new flow
 	down    bool          // a probe showed that the target does not run
+	started time.Duration // when the target showed that it had started anew
 }
 
 type opening struct {
@@ -277,6 +279,8 @@
 	switch {
 	case p.Reset:
 		g.end(key, s)
+	case asker.IsValid() && !s.known:
+		// A search asks all targets: the flow is work only where the target holds it.
 	case p.DataLen > 0 && g.isNew(s, p):
 		begins = s.phase != requestWork
 		s.phase, s.since = requestWork, now
@@ -308,6 +312,7 @@
 		g.flows.Put(key, s, now)
 	}
 	s.known = s.known || !p.Syn
+	s.heard = now
 	asker, s.asker = s.asker, flow.Endpoint{}
 	if !s.known {
 		s.asker, asker = asker, flow.Endpoint{}
@@ -340,9 +345,27 @@
 // Returned notes that the target sent a packet of a flow back: it does not hold the flow.
 func (g *Gate) Returned(key flow.Key, now time.Duration) {
 	g.hear(now)
-	if s, held := g.flows.Get(key, now); held {
-		g.end(key, s)
-		g.flows.Delete(key)
+	s, held := g.flows.Get(key, now)
+	if !held {
+		return
+	}
+	g.end(key, s)
+	g.flows.Delete(key)
+	if s.known && s.heard > g.started {
+		g.startedAnew(now)
+	}
+}
+
+// freshWork is the age up to which a request is taken for one that a target got after its start.
+const freshWork = 50 * time.Millisecond
+
+// startedAnew forgets the requests that a target had before it started again: it sent back a flow that it held.
+func (g *Gate) startedAnew(now time.Duration) {
+	g.started = now
+	for key, s := range g.busy {
+		if now-s.since > freshWork {
+			g.end(key, s)
+		}
 	}
 }
 
