--- a/placement/order.go
+++ b/placement/order.go
@@ -47,14 +47,64 @@
 	slices.SortFunc(o.remote, byHash)
 	homeHead := min(homeChoices, len(o.home))
 	remoteHead := min(remoteChoices, len(o.remote))
-	for _, part := range [][]ranked{o.home[:homeHead], o.remote[:remoteHead], o.home[homeHead:], o.remote[remoteHead:]} {
-		for _, r := range part {
-			o.out = append(o.out, r.target)
+	o.appendRanked(o.home[:homeHead])
+	o.appendRanked(o.remote[:remoteHead])
+	o.appendRanked(o.home[homeHead:])
+	o.appendRanked(o.remote[remoteHead:])
+	return o.out
+}
+
+// topCount is how many targets of either kind Top looks at.
+const topCount = 6
+
+// Top returns the beginning of an order like that of Of, without sorting the whole pool: the first targets of the home
+// domain and of all others. The result holds until the next call.
+func (o *Order) Top(targets []*directory.Target, home string, hash uint64) []*directory.Target {
+	var homeBest, remoteBest best
+	for _, t := range targets {
+		r := ranked{target: t, hash: rank(t, hash)}
+		if t.Domain == home {
+			homeBest.add(r)
+		} else {
+			remoteBest.add(r)
 		}
 	}
+	o.out = o.out[:0]
+	homeHead := min(homeChoices, homeBest.count)
+	remoteHead := min(remoteChoices, remoteBest.count)
+	o.appendRanked(homeBest.items[:homeHead])
+	o.appendRanked(remoteBest.items[:remoteHead])
+	o.appendRanked(homeBest.items[homeHead:homeBest.count])
+	o.appendRanked(remoteBest.items[remoteHead:remoteBest.count])
 	return o.out
 }
 
+func (o *Order) appendRanked(part []ranked) {
+	for _, r := range part {
+		o.out = append(o.out, r.target)
+	}
+}
+
+// best keeps the ranked targets with the highest hashes, in order.
+type best struct {
+	items [topCount]ranked
+	count int
+}
+
+func (b *best) add(r ranked) {
+	if b.count == topCount && r.hash <= b.items[topCount-1].hash {
+		return
+	}
+	if b.count < topCount {
+		b.count++
+	}
+	i := b.count - 1
+	for ; i > 0 && b.items[i-1].hash < r.hash; i-- {
+		b.items[i] = b.items[i-1]
+	}
+	b.items[i] = r
+}
+
 // rank returns the rendezvous hash of a target for a flow.
 func rank(t *directory.Target, hash uint64) uint64 {
 	return hash64.Mix(t.Seed ^ hash)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -154,10 +154,19 @@
 // Choose returns the target that a new flow is offered to next, or nil where all eligible ones were tried or have no
 // slot: the least busy of the first few in the order of the flow.
 func (c *Chooser) Choose(view *directory.View, service string, hash uint64, tried []uint64, now time.Duration) *directory.Target {
+	targets := view.Targets(service)
+	if t := c.pick(view, c.order.Top(targets, c.Home, hash), tried, now); t != nil || len(targets) <= topCount {
+		return t
+	}
+	return c.pick(view, c.order.Of(targets, c.Home, hash), tried, now)
+}
+
+// pick returns the least busy of the first few targets that may take the flow.
+func (c *Chooser) pick(view *directory.View, order []*directory.Target, tried []uint64, now time.Duration) *directory.Target {
 	var best *directory.Target
 	var least float64
 	offered := 0
-	for _, t := range c.order.Of(view.Targets(service), c.Home, hash) {
+	for _, t := range order {
 		if !Eligible(view, t) || wasTried(tried, t) || c.Loads.isFull(t.Address.IP, now) {
 			continue
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -62,6 +62,22 @@
 	require.Len(t, seen, 20)
 }
 
+// Balancers that look at the beginning of an order only agree with those that sort the whole pool.
+func TestTopBeginsTheOrder(t *testing.T) {
+	view := viewOf(40, 9, "a", "b", "c")
+	var top, whole placement.Order
+	for key := range uint64(200) {
+		first := top.Top(view.Targets("bench"), "a", key)
+		all := whole.Of(view.Targets("bench"), "a", key)
+		require.Len(t, first, 12)
+		require.Equal(t, all[:3], first[:3], "the targets among which a new flow has a choice")
+		require.Equal(t, all[3:7], first[3:7], "the next of the home domain")
+	}
+	small := viewOf(2, 9, "b")
+	require.Len(t, top.Top(small.Targets("bench"), "a", 1), 2)
+	require.Empty(t, top.Top(nil, "a", 1))
+}
+
 func TestBusyHomeSpillsToOtherDomains(t *testing.T) {
 	view := viewOf(6, 9, "a", "b")
 	c, loads := chooser("a")
