Split the agent by its concerns; keep the platform's names of tests in one place

No change of behaviour: searches, waiting flows, balancers and metrics of an agent stand in files of their own, and the soak writes to the store's stand-in through methods in our own words.

--- a/forward/agent.go
+++ b/forward/agent.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -65,34 +64,6 @@
 	closed    chan struct{}
 }
 
-// balancer is a sender of packets.
-type balancer struct {
-	address flow.Endpoint
-	seen    time.Duration
-}
-
-// searchKey identifies a search that passes this agent: the flow and the balancer that searches it.
-type searchKey struct {
-	flow     flow.Key
-	balancer int
-}
-
-// passingSearch is a search whose packet was given to the target.
-type passingSearch struct {
-	header encap.Header
-	packet []byte // kept where the target was not heard of lately
-}
-
-// maxSearches bounds the searches that an agent remembers. It forgets all of them beyond that; callers send their
-// packets again.
-const maxSearches = 4096
-
-// parked is the SYN of a flow that waits.
-type parked struct {
-	packet   [platform.HeaderBytes]byte
-	balancer int
-}
-
 // OpenAgent binds the sockets.
 func OpenAgent(c AgentConfig) (*Agent, error) {
 	tunnel, err := udpbatch.Listen(c.Tunnel)
@@ -159,44 +130,6 @@
 	o.local.flush()
 }
 
-// token marks packets on their way to the target, so that a returned one leads back to its balancer.
-func (a *Agent) token(balancer int, attempt uint8) uint32 {
-	return a.boot<<20 | uint32(balancer)<<8 | uint32(attempt)
-}
-
-// senderOf reads a token. It reports false for a token of another process.
-func (a *Agent) senderOf(token uint32) (balancer int, attempt uint8, ok bool) {
-	balancer = int(token >> 8 & (maxBalancers - 1))
-	return balancer, uint8(token), token>>20 == a.boot && balancer < len(a.balancers)
-}
-
-// balancerAt returns the index of a balancer, a new one where it is not known.
-func (a *Agent) balancerAt(address flow.Endpoint, now time.Duration) int {
-	i, known := a.index[address]
-	if !known {
-		i = a.freeIndex(now)
-		delete(a.index, a.balancers[i].address)
-		a.index[address] = i
-	}
-	a.balancers[i] = balancer{address: address, seen: now}
-	return i
-}
-
-// freeIndex returns an index for a new balancer. Where all are taken, the one that was silent for longest goes.
-func (a *Agent) freeIndex(now time.Duration) int {
-	if len(a.balancers) < maxBalancers {
-		a.balancers = append(a.balancers, balancer{})
-		return len(a.balancers) - 1
-	}
-	oldest := 0
-	for i := range a.balancers {
-		if a.balancers[i].seen < a.balancers[oldest].seen {
-			oldest = i
-		}
-	}
-	return oldest
-}
-
 func (a *Agent) fromBalancer(out *agentBoxes, datagram []byte, from flow.Endpoint) {
 	h, packet, err := encap.Decode(datagram)
 	if err != nil || h.Kind != encap.KindForward {
@@ -294,40 +227,6 @@
 	out.local.send(a.target, packet)
 }
 
-func (a *Agent) rememberSearch(key searchKey, h *encap.Header, packet []byte, now time.Duration) {
-	if len(a.searches) >= maxSearches {
-		clear(a.searches)
-	}
-	passing := passingSearch{header: *h}
-	if a.gate.Quiet(quietLimit, now) {
-		passing.packet = bytes.Clone(packet)
-	}
-	a.searches[key] = passing
-}
-
-// searchOn passes a packet whose flow the target does not hold to the next agent of the search, or back to the balancer
-// where there is none.
-func (a *Agent) searchOn(out *agentBoxes, sender int, h *encap.Header, packet []byte, now time.Duration) {
-	platform.ClearReturned(packet)
-	origin := a.balancers[sender].address
-	next, more := h.Path.Next()
-	if !more {
-		answer := a.header(encap.KindReturn, now)
-		answer.Reason, answer.Searches, answer.Round = encap.ReasonRefused, true, h.Round
-		out.balancers.wrap(origin, &answer, packet)
-		return
-	}
-	h.Origin = origin.IP
-	h.Attempt++
-	out.balancers.wrap(flow.Endpoint{IP: next, Port: a.config.Tunnel.Port()}, h, packet)
-}
-
-// found tells a balancer that the target holds a flow.
-func (a *Agent) found(out *agentBoxes, to flow.Endpoint, key flow.Key, now time.Duration) {
-	h := a.header(encap.KindFound, now)
-	out.balancers.wrapOwned(to, &h, platform.AppendReset(nil, key.Reversed(), 0))
-}
-
 func (a *Agent) header(kind encap.Kind, now time.Duration) encap.Header {
 	return encap.Header{
 		Kind:    kind,
@@ -403,72 +302,6 @@
 	a.logFlow("packet_refused_by_target", key, "balancer", a.balancers[sender].address, "load", a.gate.Load())
 }
 
-// release hands flows that waited to the target while it has room.
-func (a *Agent) release(out *agentBoxes, now time.Duration) {
-	for {
-		key, ok := a.gate.Next(now)
-		if !ok {
-			break
-		}
-		held, known := a.parked[key]
-		if !known {
-			continue
-		}
-		delete(a.parked, key)
-		platform.SetToken(held.packet[:], a.token(held.balancer, 0))
-		out.local.sendOwned(a.target, held.packet[:])
-		a.logFlow("flow_released", key, "load", a.gate.Load(), "waiting", a.gate.Waiting())
-	}
-	if a.gate.Waiting() == 0 {
-		clear(a.parked)
-		return
-	}
-	a.armTimer()
-}
-
-// armTimer looks at the flows that wait again a little later.
-func (a *Agent) armTimer() {
-	if a.armed {
-		return
-	}
-	a.armed = true
-	time.AfterFunc(waitCheck, a.checkWaiting)
-}
-
-func (a *Agent) checkWaiting() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.armed = false
-	a.release(a.timerOut, a.clock.now())
-	a.timerOut.flush()
-}
-
-// report tells the balancers that send to this agent of the work of its target.
-func (a *Agent) report() {
-	ticker := time.NewTicker(reportPeriod)
-	defer ticker.Stop()
-	out := a.newOutboxes()
-	for {
-		select {
-		case <-a.closed:
-			return
-		case <-ticker.C:
-		}
-		now := a.clock.now()
-		a.mu.Lock()
-		a.gate.Expire(now)
-		a.probeIfSuspect(now)
-		h := a.header(encap.KindReport, now)
-		for i := range a.balancers {
-			if now-a.balancers[i].seen < balancerIdle {
-				out.balancers.wrap(a.balancers[i].address, &h, nil)
-			}
-		}
-		a.mu.Unlock()
-		out.flush()
-	}
-}
-
 // logFlow writes a line about one flow, as far as the sampler allows.
 func (a *Agent) logFlow(event string, key flow.Key, args ...any) {
 	skipped, ok := a.config.Sampler.Allow()
@@ -477,22 +310,3 @@
 	}
 	a.config.Log.Info(event, append([]any{"flow", key.String(), "skipped", skipped}, args...)...)
 }
-
-var (
-	answerTime   = metrics.NewHistogram("cowslip_first_answer_seconds")
-	droppedToken = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="unknown_token"}`)
-	newFlows     = map[targetgate.Verdict]*metrics.Counter{
-		targetgate.Accept: metrics.NewCounter(`cowslip_new_flows_total{verdict="accept"}`),
-		targetgate.Refuse: metrics.NewCounter(`cowslip_new_flows_total{verdict="refuse"}`),
-		targetgate.Wait:   metrics.NewCounter(`cowslip_new_flows_total{verdict="wait"}`),
-	}
-	returned = newReturnCounters()
-)
-
-func newReturnCounters() map[encap.Reason]*metrics.Counter {
-	counters := make(map[encap.Reason]*metrics.Counter)
-	for reason := encap.ReasonRefused; reason <= encap.ReasonSilent; reason++ {
-		counters[reason] = metrics.NewCounter(fmt.Sprintf("cowslip_returned_packets_total{reason=%q}", reason.String()))
-	}
-	return counters
-}
--- /dev/null
+++ b/forward/agent_metrics.go
@@ -0,0 +1,29 @@
+package forward
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cowslipward/cowslipward/encap"
+	"github.com/cowslipward/cowslipward/targetgate"
+)
+
+var (
+	answerTime   = metrics.NewHistogram("cowslip_first_answer_seconds")
+	droppedToken = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="unknown_token"}`)
+	newFlows     = map[targetgate.Verdict]*metrics.Counter{
+		targetgate.Accept: metrics.NewCounter(`cowslip_new_flows_total{verdict="accept"}`),
+		targetgate.Refuse: metrics.NewCounter(`cowslip_new_flows_total{verdict="refuse"}`),
+		targetgate.Wait:   metrics.NewCounter(`cowslip_new_flows_total{verdict="wait"}`),
+	}
+	returned = newReturnCounters()
+)
+
+func newReturnCounters() map[encap.Reason]*metrics.Counter {
+	counters := make(map[encap.Reason]*metrics.Counter)
+	for reason := encap.ReasonRefused; reason <= encap.ReasonSilent; reason++ {
+		counters[reason] = metrics.NewCounter(fmt.Sprintf("cowslip_returned_packets_total{reason=%q}", reason.String()))
+	}
+	return counters
+}
--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -149,7 +149,7 @@
 		return err
 	}
 	v.target = target
-	b.Store.Put("servers/"+v.targetID(), target.Entry(v.address(appPort), "ready"))
+	b.Store.PutTarget(v.targetID(), target.Entry(v.address(appPort), "ready"))
 	return nil
 }
 
@@ -160,32 +160,11 @@
 // publishConfig writes a new version of the configuration with a route to each service.
 func (b *Bed) publishConfig(services []string) {
 	b.version++
-	type route struct {
-		Name      string `json:"name"`
-		Host      string `json:"host"`
-		Prefix    string `json:"prefix"`
-		Type      string `json:"type"`
-		TimeoutMs int    `json:"timeoutMs"`
-		SloMs     int    `json:"sloMs"`
-		Service   string `json:"service"`
-	}
-	var routes []route
-	var named []map[string]any
+	var routes []platformtest.Route
 	for n, service := range services {
-		address := serviceAddress(n).AddrPort()
-		routes = append(routes, route{
-			Name: "r-" + service, Host: address.Addr().String(), Prefix: fmt.Sprintf("/%d/", address.Port()), Type: "safe",
-			TimeoutMs: 4000 + b.version, SloMs: 250, Service: service,
-		})
-		named = append(named, map[string]any{"name": service})
-	}
-	text, err := json.Marshal(map[string]any{
-		"version": b.version, "routes": routes, "services": named, "limits": map[string]int{"idleTimeoutMs": 15000},
-	})
-	if err != nil {
-		panic(err) // the value above always encodes
+		routes = append(routes, platformtest.Route{Address: serviceAddress(n), Service: service})
 	}
-	b.Store.Put("op/config", string(text))
+	b.Store.PutConfig(platformtest.Config(b.version, routes))
 }
 
 // settings returns the settings file of a VM's process.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -155,7 +155,7 @@
 	f.bed.mu.Lock()
 	err := f.bed.addTarget(v)
 	f.bed.mu.Unlock()
-	f.bed.Store.Remove("servers/" + old)
+	f.bed.Store.RemoveTarget(old)
 	if err != nil {
 		f.report("VIOLATION target on %s did not start: %s", v.name, err)
 		f.bed.Ledger.Violate("a target did not start")
@@ -167,7 +167,7 @@
 	f.bed.mu.Lock()
 	target, id := v.target, v.targetID()
 	f.bed.mu.Unlock()
-	f.bed.Store.Put("servers/"+id, target.Entry(v.address(appPort), "draining"))
+	f.bed.Store.PutTarget(id, target.Entry(v.address(appPort), "draining"))
 	target.Drain()
 	time.Sleep(drainTime)
 	target.Close()
@@ -204,11 +204,11 @@
 	}
 	defer f.busy.Delete("out")
 	domain := f.bed.Domains[f.random.IntN(len(f.bed.Domains))]
-	f.bed.Store.Put("op/evacuate/"+domain, "{}")
+	f.bed.Store.SetOut(domain, true)
 	f.setOut(domain, time.Now())
 	time.Sleep(outTime)
 	f.setOut(domain, time.Time{})
-	f.bed.Store.Remove("op/evacuate/" + domain)
+	f.bed.Store.SetOut(domain, false)
 }
 
 const outTime = 8 * time.Second
--- a/viewsync/viewsync_test.go
+++ b/viewsync/viewsync_test.go
@@ -38,11 +38,11 @@
 	`"warmupLeftMs":0,"seq":1,"born":%d}`
 
 func putConfig(s *platformtest.Store, version int) {
-	s.Put("op/config", fmt.Sprintf(configValue, version))
+	s.PutConfig(fmt.Sprintf(configValue, version))
 }
 
 func putTarget(s *platformtest.Store, n int) {
-	s.Put(fmt.Sprintf("servers/i-%d", n), fmt.Sprintf(targetValue, n, n))
+	s.PutTarget(fmt.Sprintf("i-%d", n), fmt.Sprintf(targetValue, n, n))
 }
 
 // node is a syncer that runs, and what it published last.
@@ -171,7 +171,7 @@
 	requireVersion(t, 1, nodes...)
 	putConfig(s, 2)
 	requireVersion(t, 2, nodes...)
-	s.Remove("servers/i-1")
+	s.RemoveTarget("i-1")
 	for _, n := range nodes {
 		require.Eventually(t, func() bool { return n.targets() == 0 }, eventually, 10*time.Millisecond)
 	}
@@ -239,7 +239,7 @@
 	s.SetRefuse(func(*http.Request) int { return http.StatusServiceUnavailable })
 	time.Sleep(600 * time.Millisecond)
 	putConfig(s, 2)
-	s.Remove("servers/i-1")
+	s.RemoveTarget("i-1")
 	s.Forget()
 	s.SetRefuse(nil)
 	requireVersion(t, 2, n)
@@ -256,8 +256,8 @@
 	require.Eventually(t, func() bool { return n.targets() == 2 }, eventually, 10*time.Millisecond)
 	s.SetRefuse(func(*http.Request) int { return http.StatusServiceUnavailable })
 	time.Sleep(2500 * time.Millisecond)
-	s.Remove("servers/i-1")
-	s.Remove("servers/i-2")
+	s.RemoveTarget("i-1")
+	s.RemoveTarget("i-2")
 	s.SetRefuse(nil)
 	time.Sleep(time.Second)
 	require.Equal(t, 2, n.targets())
@@ -287,7 +287,7 @@
 	for n := range 500 {
 		routes += fmt.Sprintf(`{"name":"r-%d","host":"198.18.1.%d","prefix":"/%d/","type":"safe","service":"bench"},`, n, n%250, 1000+n)
 	}
-	s.Put("op/config", fmt.Sprintf(`{"version":2,"routes":[%s],"services":[{"name":"bench"}]}`, routes[:len(routes)-1]))
+	s.PutConfig(fmt.Sprintf(`{"version":2,"routes":[%s],"services":[{"name":"bench"}]}`, routes[:len(routes)-1]))
 	requireVersion(t, 2, nodes...)
 }
 
