--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,25 +60,25 @@
 
 // Causes.
 const (
-	CausePlaced       Cause = "placed"          // new flow, offered to a target
-	CauseRepeated     Cause = "repeated"        // copy of a SYN whose first target did not take it
-	CauseNext         Cause = "next_target"     // the target before refused the new flow
-	CauseWait         Cause = "wait"            // all targets are busy, the flow waits at one
-	CauseOpen         Cause = "open"            // open flow, by the table
-	CauseSearch       Cause = "search"          // open flow whose target is searched from now on
-	CauseSearching    Cause = "searching"       // open flow whose target is being searched
-	CauseNoRoute      Cause = "no_route"        // no configuration names the address
-	CauseNoView       Cause = "no_view"         // no configuration is known yet
-	CauseNoTarget     Cause = "no_target"       // the service has no target that may take new flows
-	CauseNoRoom       Cause = "no_room"         // no target has room now, the caller's next copy may find some
-	CauseOverload     Cause = "overload"        // no target has room for the last copy of a SYN
-	CauseUnknownFlow  Cause = "unknown_flow"    // no target holds the flow
-	CauseMissPending  Cause = "miss_unproved"   // no target holds the flow as far as an older view knows
-	CauseDomainOut    Cause = "domain_out"      // the flow lives in a failure domain that is out of service
-	CauseTooManyHops  Cause = "too_many_hops"   // the packet came back too often
-	CauseNotFromFlow  Cause = "not_from_caller" // a reset or a returned packet that no caller sends
-	CauseStaleReturn  Cause = "stale_return"    // a return from a target that the flow has left
-	CauseTargetClosed Cause = "caller_reset"    // the caller ends the flow
+	CausePlaced        Cause = "placed"          // new flow, offered to a target
+	CauseRepeated      Cause = "repeated"        // copy of a SYN whose first target did not take it
+	CauseNext          Cause = "next_target"     // the target before refused the new flow
+	CauseWait          Cause = "wait"            // all targets are busy, the flow waits at one
+	CauseOpen          Cause = "open"            // open flow, by the table
+	CauseSearch        Cause = "search"          // open flow whose target is searched from now on
+	CauseSearching     Cause = "searching"       // open flow whose target is being searched
+	CauseNoRoute       Cause = "no_route"        // no configuration names the address
+	CauseNoView        Cause = "no_view"         // no configuration is known yet
+	CauseNoTarget      Cause = "no_target"       // the service has no target that may take new flows
+	CauseNoRoom        Cause = "no_room"         // no target has room now, the caller's next copy may find some
+	CauseOverload      Cause = "overload"        // no target has room for the last copy of a SYN
+	CauseUnknownFlow   Cause = "unknown_flow"    // no target holds the flow
+	CauseMissPending   Cause = "miss_unproved"   // no target holds the flow as far as an older view knows
+	CauseDomainOut     Cause = "domain_out"      // the flow lives in a failure domain that is out of service
+	CauseTooManyHops   Cause = "too_many_hops"   // the packet came back too often
+	CauseNotFromCaller Cause = "not_from_caller" // a reset or a returned packet that no caller sends
+	CauseStaleReturn   Cause = "stale_return"    // a return from a target that the flow has left
+	CauseCallerReset   Cause = "caller_reset"    // the caller ends a flow that no target holds
 )
 
 // Decision is the outcome of one packet and what led to it.
@@ -170,7 +170,7 @@
 // FromCaller decides about a caller's packet.
 func (d *Dispatcher) FromCaller(p *flow.Packet, now time.Duration) Decision {
 	if p.Returned || (p.Syn && p.AckFlag) {
-		return Decision{Cause: CauseNotFromFlow}
+		return Decision{Cause: CauseNotFromCaller}
 	}
 	if d.view.Config == nil {
 		return Decision{Cause: CauseNoView}
--- a/dispatch/search.go
+++ b/dispatch/search.go
@@ -121,7 +121,7 @@
 	}
 	d.table.Delete(key)
 	if p.Reset {
-		return Decision{Cause: CauseTargetClosed}
+		return Decision{Cause: CauseCallerReset}
 	}
 	return Decision{Outcome: OutcomeReset, Cause: CauseUnknownFlow, Seq: p.Ack}
 }
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -196,10 +196,9 @@
 		droppedForeign.Inc()
 		return
 	}
-	now := b.clock.now()
 	if h.Kind == encap.KindReport {
 		b.mu.Lock()
-		b.dispatcher.Reported(from.IP, &h, now)
+		b.dispatcher.Reported(from.IP, &h, b.clock.now())
 		b.mu.Unlock()
 		return
 	}
@@ -208,23 +207,34 @@
 		droppedUnreadable.Inc()
 		return
 	}
-	b.mu.Lock()
 	if h.Kind == encap.KindFound {
-		b.dispatcher.Found(from.IP, &h, &p, now)
-		held := b.held.ofFlow(p.FromCaller())
-		b.mu.Unlock()
-		for _, packet := range held {
-			b.decideAgain(out, packet, 0)
-		}
+		b.found(out, &h, &p, from)
 		return
 	}
-	d := b.dispatcher.Returned(from.IP, &h, &p, now)
+	b.returned(out, &h, &p, packet, from)
+}
+
+// found ends the search for a flow and sends the packets that waited for it.
+func (b *Balancer) found(out *outboxes, h *encap.Header, p *flow.Packet, from flow.Endpoint) {
+	b.mu.Lock()
+	b.dispatcher.Found(from.IP, h, p, b.clock.now())
+	held := b.held.ofFlow(p.FromCaller())
+	b.mu.Unlock()
+	for _, packet := range held {
+		b.decideAgain(out, packet, 0)
+	}
+}
+
+// returned decides about a packet that an agent sent back.
+func (b *Balancer) returned(out *outboxes, h *encap.Header, p *flow.Packet, packet []byte, from flow.Endpoint) {
+	b.mu.Lock()
+	d := b.dispatcher.Returned(from.IP, h, p, b.clock.now())
 	b.mu.Unlock()
 	if b.config.Log.Enabled(context.Background(), slog.LevelDebug) {
-		b.config.Log.Debug("packet_returned", "flow", p.FromCaller(), "from", from.IP, "reason", h.Reason.String(), "attempt", h.Attempt)
+		b.config.Log.Debug("packet_returned", "flow", p.FromCaller(), "from", from.IP, "reason", h.Reason, "attempt", h.Attempt)
 	}
-	b.act(out, &d, &p, packet)
-	b.hold(&d, &p, packet)
+	b.act(out, &d, p, packet)
+	b.hold(&d, p, packet)
 }
 
 // act carries a decision out, counts and logs it.
