Arrange both kinds of order in one place; count answers without a lookup

Found in the last read of the change: Order.Of and Order.Top laid their parts out in two copies of the same lines, and an agent formatted the name of a counter and looked it up for each answer, under its lock. No change of behaviour; the tests of placement, forward and dispatch pass, the linters are clean.

--- a/forward/agent.go
+++ b/forward/agent.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/encap"
 	"github.com/cowslipward/cowslipward/flow"
@@ -274,7 +272,7 @@
 // answered counts the first bytes of an answer.
 func (a *Agent) answered(key flow.Key, status int, took time.Duration) {
 	answerTime.Update(took.Seconds())
-	metrics.GetOrCreateCounter(fmt.Sprintf(`cowslip_answers_total{class="%dxx"}`, status/100)).Inc()
+	answers[status/100].Inc()
 	if status >= 500 || took > slowAnswer {
 		a.logFlow("request_answered", key, "status", status, "took", took, "load", a.gate.Load())
 	}
--- a/forward/agent_metrics.go
+++ b/forward/agent_metrics.go
@@ -18,8 +18,21 @@
 		targetgate.Wait:   metrics.NewCounter(`cowslip_new_flows_total{verdict="wait"}`),
 	}
 	returned = newReturnCounters()
+	answers  = newAnswerCounters()
 )
 
+// answerClasses are the first digits that a status of three digits can have.
+const answerClasses = 10
+
+// newAnswerCounters returns a counter for each class of statuses. Class 0 holds answers whose status cannot be read.
+func newAnswerCounters() [answerClasses]*metrics.Counter {
+	var counters [answerClasses]*metrics.Counter
+	for class := range counters {
+		counters[class] = metrics.NewCounter(fmt.Sprintf(`cowslip_answers_total{class="%dxx"}`, class))
+	}
+	return counters
+}
+
 func newReturnCounters() map[encap.Reason]*metrics.Counter {
 	counters := make(map[encap.Reason]*metrics.Counter)
 	for reason := encap.ReasonRefused; reason <= encap.ReasonSilent; reason++ {
--- a/placement/order.go
+++ b/placement/order.go
@@ -33,7 +33,7 @@
 // targets of the home failure domain, one of another, the rest of the home domain, then all others. A target that joins
 // or leaves hardly moves others. The result holds until the next call.
 func (o *Order) Of(targets []*directory.Target, home string, hash uint64) []*directory.Target {
-	o.home, o.remote, o.out = o.home[:0], o.remote[:0], o.out[:0]
+	o.home, o.remote = o.home[:0], o.remote[:0]
 	for _, t := range targets {
 		r := ranked{target: t, hash: rank(t, hash)}
 		if t.Domain == home {
@@ -45,13 +45,7 @@
 	byHash := func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) }
 	slices.SortFunc(o.home, byHash)
 	slices.SortFunc(o.remote, byHash)
-	homeHead := min(homeChoices, len(o.home))
-	remoteHead := min(remoteChoices, len(o.remote))
-	o.appendRanked(o.home[:homeHead])
-	o.appendRanked(o.remote[:remoteHead])
-	o.appendRanked(o.home[homeHead:])
-	o.appendRanked(o.remote[remoteHead:])
-	return o.out
+	return o.arrange(o.home, o.remote)
 }
 
 // topCount is how many targets of either kind Top looks at.
@@ -69,13 +63,18 @@
 			remoteBest.add(r)
 		}
 	}
+	return o.arrange(homeBest.items[:homeBest.count], remoteBest.items[:remoteBest.count])
+}
+
+// arrange returns the order of two ranked lists: the beginnings of both, then the rest of either.
+func (o *Order) arrange(home, remote []ranked) []*directory.Target {
 	o.out = o.out[:0]
-	homeHead := min(homeChoices, homeBest.count)
-	remoteHead := min(remoteChoices, remoteBest.count)
-	o.appendRanked(homeBest.items[:homeHead])
-	o.appendRanked(remoteBest.items[:remoteHead])
-	o.appendRanked(homeBest.items[homeHead:homeBest.count])
-	o.appendRanked(remoteBest.items[remoteHead:remoteBest.count])
+	homeHead := min(homeChoices, len(home))
+	remoteHead := min(remoteChoices, len(remote))
+	o.appendRanked(home[:homeHead])
+	o.appendRanked(remote[:remoteHead])
+	o.appendRanked(home[homeHead:])
+	o.appendRanked(remote[remoteHead:])
 	return o.out
 }
 
