Keep a service that starts cold as a whole at two requests until it has warmed up

The load takes seven seconds to open on a busy machine, so that it meets the six seconds of cold start in which the deployment begins. All targets of the service are cold, none has a warm peer, and a steady service time let the limit grow to three, 0.14 s before the cold start ended. Ruled out: requests that were checked before a pause (they pass one at a time), requests lost in the pause (the paused agent's limit stays at one in the trace). For the first 10 s a target that can be compared with nothing gets two requests at once, unless it became much faster. TestColdServiceWithoutWarmPeers fails before (two overloads at 6 and 9 s) and passes after.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -29,6 +29,11 @@
 	// peerPeriod is how long a target that is slower than its peers counts as cold. After that it counts as a slow one, and
 	// its own service times decide.
 	peerPeriod = time.Minute
+	// unknownLimit is how many requests at once a new target gets that can be compared with nothing: neither with warm
+	// peers nor with itself before. Within unknownPeriod more follow only once it has become faster, since one that starts
+	// cold and shows no change is not to be told from a warm one.
+	unknownLimit  = 2
+	unknownPeriod = 10 * time.Second
 	// slowAnswers in a row after a pause mean a cold target.
 	slowAnswers = 3
 )
@@ -59,13 +64,14 @@
 	high      int           // windows in a row that were far above the reference
 	demanded  bool          // work had to wait since the last change
 	peers     time.Duration // usual service time of warm targets of the same service, zero when unknown
+	born      time.Time     // when the target became known
 	cold      time.Time     // start of the cold start or of the last cut to one
 	ceiling   int           // zero for none
 	ceilingAt time.Time
 }
 
 func newLimit(slots int, now time.Time) limit {
-	return limit{slots: slots, current: coldLimit, reason: whyCold, changed: now, cold: now, times: serviceTimes{sinceJump: jumpSamples}}
+	return limit{slots: slots, current: coldLimit, reason: whyCold, changed: now, born: now, cold: now, times: serviceTimes{sinceJump: jumpSamples}}
 }
 
 // serviceTime returns the recent median, or zero when unknown.
@@ -215,6 +221,9 @@
 	if l.peers > 0 && now.Sub(l.cold) < peerPeriod {
 		return false
 	}
+	if l.current >= unknownLimit && now.Sub(l.born) < unknownPeriod && !l.times.hasWarmed() {
+		return false
+	}
 	return now.Sub(l.changed) >= firstInterval && l.times.settled(now) && !l.held(now)
 }
 
--- a/admission/service.go
+++ b/admission/service.go
@@ -28,6 +28,8 @@
 	settlePeriod = 3 * time.Second
 	// fallTolerance is the share of the earlier service time below which the target still warms up.
 	fallTolerance = 0.95
+	// warmShare is the share of the first service time below which a target has become warm since then.
+	warmShare = 0.6
 	// jumpFactor is the rise of a service time over the highest usual one that a warm target does not show.
 	jumpFactor = 2.5
 	// peakDecay lowers the highest usual service time per sample, so that one slow request does not hide a later jump.
@@ -41,6 +43,7 @@
 	window    []time.Duration
 	opened    time.Time     // first sample of the window
 	median    time.Duration // of the last full window, zero when unknown
+	first     time.Duration // the first median of all
 	reference time.Duration // what the median is when the target is well, drifting up
 	drifted   time.Time
 	frozen    time.Time // until then the reference does not drift up
@@ -69,6 +72,9 @@
 	}
 	s.median = medianOf(s.window)
 	s.window = s.window[:0]
+	if s.first == 0 {
+		s.first = s.median
+	}
 	s.adaptReference(now)
 	s.history = append(s.history, reading{at: now, median: s.median})
 	for len(s.history) > 1 && now.Sub(s.history[1].at) >= settlePeriod {
@@ -131,6 +137,11 @@
 	return meanOf(s.history[half:]) >= fallTolerance*meanOf(s.history[:half])
 }
 
+// hasWarmed reports whether the target has become much faster since it was seen first.
+func (s *serviceTimes) hasWarmed() bool {
+	return float64(s.median) <= warmShare*float64(s.first)
+}
+
 // restart drops the observations of the time before a cut. The reference stays: it is what a warm target showed.
 func (s *serviceTimes) restart(now time.Time) {
 	s.frozen = now.Add(freezePeriod)
--- a/admission/simulation_test.go
+++ b/admission/simulation_test.go
@@ -271,3 +271,24 @@
 	_, limit = run(t, 0, warmService)
 	require.Equal(t, slots, limit)
 }
+
+// Pattern: a whole service starts cold, so that no target has a warm peer, and its service time does not change until the
+// cold start ends. A target may not get more than it bears meanwhile (P3), and is in full use soon after.
+func TestColdServiceWithoutWarmPeers(t *testing.T) {
+	for _, cold := range []time.Duration{3 * time.Second, 6 * time.Second, 9 * time.Second} {
+		t.Run(cold.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTarget(time.Hour * 1000)
+				limiter := newAdaptive()
+				time.AfterFunc(cold, func() {
+					s.mu.Lock()
+					s.warmth = 1
+					s.mu.Unlock()
+				})
+				drive(t, limiter, s, cold+15*time.Second)
+				require.Zero(t, s.overloads)
+				require.Equal(t, slots, limiter.Snapshot().Limit)
+			})
+		})
+	}
+}
--- a/cmd/cowslip-load/main.go
+++ b/cmd/cowslip-load/main.go
@@ -36,7 +36,7 @@
 	persistent.StringVar(&f.bin, "bin", filepath.Dir(own), "directory of the programs")
 	persistent.Uint64Var(&f.seed, "seed", 1, "seed of the load")
 	persistent.StringVar(&f.plots, "plots", ".", "directory for plot files")
-	root.AddCommand(demoCommand(f), flowsCommand(f), balanceCommand(f), domainCommand(f), rulesCommand(f), packetsCommand(f), soakCommand(f))
+	root.AddCommand(demoCommand(f), flowsCommand(f), balanceCommand(f), domainCommand(f), rulesCommand(f), packetsCommand(f), soakCommand(f), deploymentsCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := root.ExecuteContext(ctx); err != nil {
