Soak: harm the datagrams between balancers and agents; one package starts the children of test beds

A loopback mesh carries the datagrams between balancers and agents and cuts them (both ways or one), loses or delays them. Children of the soak end with it, as those of the scenarios do.

--- a/internal/testbed/process.go
+++ b/internal/child/child.go
@@ -1,4 +1,5 @@
-package testbed
+// Package child starts the processes of test beds, with a log file each, and ends them.
+package child
 
 import (
 	"fmt"
@@ -12,9 +13,9 @@
 	"time"
 )
 
-// process is a process that the test bed started.
-type process struct {
-	name    string
+// Process is a child that a test bed started.
+type Process struct {
+	Name    string
 	path    string // log file
 	command *exec.Cmd
 	exited  chan struct{}
@@ -45,8 +46,8 @@
 	<-done
 }
 
-// start runs a program and appends its output to a log file.
-func start(dir, name, program string, args ...string) (*process, error) {
+// Start runs a program and appends its output to a log file in the directory.
+func Start(dir, name, program string, args ...string) (*Process, error) {
 	path := filepath.Join(dir, name+".log")
 	log, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
@@ -56,7 +57,7 @@
 	command.Stdout = log
 	command.Stderr = log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	p := &process{name: name, path: path, command: command, exited: make(chan struct{})}
+	p := &Process{Name: name, path: path, command: command, exited: make(chan struct{})}
 	launch(func() { err = command.Start() })
 	if err != nil {
 		_ = log.Close()
@@ -70,33 +71,50 @@
 	return p, nil
 }
 
-func (p *process) signal(s syscall.Signal) error {
+// Signal sends a signal. It fails where the process has ended.
+func (p *Process) Signal(s syscall.Signal) error {
 	select {
 	case <-p.exited:
-		return fmt.Errorf("%s has ended: %v", p.name, p.err)
+		return fmt.Errorf("%s has ended: %v", p.Name, p.err)
 	default:
 		return p.command.Process.Signal(s)
 	}
 }
 
-// kill ends the process at once and waits for its end. SIGKILL also ends a stopped process.
-func (p *process) kill() {
+// Exited is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// Err says how the process ended. It is meant for the time after that.
+func (p *Process) Err() error { return p.err }
+
+// HasEnded reports whether the process has ended.
+func (p *Process) HasEnded() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// Kill ends the process at once and waits for its end. SIGKILL also ends a stopped process.
+func (p *Process) Kill() {
 	_ = p.command.Process.Kill()
 	<-p.exited
 }
 
-// await waits for the end of the process.
-func (p *process) await(limit time.Duration) error {
+// Await waits for the end of the process.
+func (p *Process) Await(limit time.Duration) error {
 	select {
 	case <-p.exited:
 		return p.err
 	case <-time.After(limit):
-		return fmt.Errorf("%s has not ended within %s", p.name, limit)
+		return fmt.Errorf("%s has not ended within %s", p.Name, limit)
 	}
 }
 
-// tail returns the last lines of the log.
-func (p *process) tail(lines int) string {
+// Tail returns the last lines of the log.
+func (p *Process) Tail(lines int) string {
 	text, _ := os.ReadFile(p.path)
 	all := strings.Split(strings.TrimRight(string(text), "\n"), "\n")
 	return strings.Join(all[max(len(all)-lines, 0):], "\n")
--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -9,13 +9,13 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/internal/child"
 	"github.com/cowslipward/cowslipward/platform/platformtest"
 )
 
@@ -53,13 +53,13 @@
 	name    string
 	role    string
 	ip      netip.Addr
+	shown   netip.Addr // by which VMs of the other role know it
 	domain  string
 	service string
 	store   *proxy // balancers: the way to the store
 	target  *platformtest.Target
 	id      int // of the target's incarnation
-	command *exec.Cmd
-	exited  chan struct{}
+	process *child.Process
 	ready   bool
 }
 
@@ -68,6 +68,7 @@
 	Options
 	Store   *platformtest.Store
 	Ledger  *platformtest.Ledger
+	mesh    *mesh
 	mu      sync.Mutex
 	vms     []*vm
 	version int
@@ -75,11 +76,13 @@
 	closed  chan struct{}
 }
 
-// Third bytes of the loopback addresses.
+// Third bytes of the loopback addresses. VMs know each other by the addresses of the mesh.
 const (
-	netBalancers = 1
-	netTargets   = 2
-	netCallers   = 3
+	netBalancers     = 1
+	netTargets       = 2
+	netCallers       = 3
+	netMeshBalancers = 4
+	netMeshTargets   = 5
 )
 
 // ip returns the loopback address of the nth VM of a kind.
@@ -98,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Bed{Options: o, Store: store, Ledger: platformtest.NewLedger(), closed: make(chan struct{})}
+	b := &Bed{Options: o, Store: store, Ledger: platformtest.NewLedger(), mesh: newMesh(), closed: make(chan struct{})}
 	b.publishConfig(services)
 	if err := b.startAll(services); err != nil {
 		b.Close()
@@ -113,7 +116,7 @@
 	for _, service := range services {
 		for range b.Targets[service] {
 			v := &vm{name: fmt.Sprintf("side-%d", n), role: "agent", service: service, domain: b.Domains[n%len(b.Domains)]}
-			v.ip = b.ip(netTargets, n)
+			v.ip, v.shown = b.ip(netTargets, n), b.ip(netMeshTargets, n)
 			if err := b.addTarget(v); err != nil {
 				return err
 			}
@@ -123,7 +126,7 @@
 	}
 	for n := range b.Balancers {
 		v := &vm{name: fmt.Sprintf("entry-%d", n), role: "balancer", domain: b.Domains[n%len(b.Domains)]}
-		v.ip = b.ip(netBalancers, n)
+		v.ip, v.shown = b.ip(netBalancers, n), b.ip(netMeshBalancers, n)
 		link, err := newProxy(b.Store.Address())
 		if err != nil {
 			return err
@@ -132,6 +135,9 @@
 		b.vms = append(b.vms, v)
 	}
 	for _, v := range b.vms {
+		if err := b.mesh.add(v.shown, v.address(tunnelPort)); err != nil {
+			return err
+		}
 		if err := b.start(v); err != nil {
 			return err
 		}
@@ -149,7 +155,7 @@
 		return err
 	}
 	v.target = target
-	b.Store.PutTarget(v.targetID(), target.Entry(v.address(appPort), "ready"))
+	b.Store.PutTarget(v.targetID(), target.Entry(v.entryAddress(), "ready"))
 	return nil
 }
 
@@ -157,6 +163,9 @@
 
 func (v *vm) address(port int) netip.AddrPort { return netip.AddrPortFrom(v.ip, uint16(port)) }
 
+// entryAddress is the address of the target beside the VM, as its entry in the store shows it.
+func (v *vm) entryAddress() netip.AddrPort { return netip.AddrPortFrom(v.shown, appPort) }
+
 // publishConfig writes a new version of the configuration with a route to each service.
 func (b *Bed) publishConfig(services []string) {
 	b.version++
@@ -196,23 +205,12 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(b.Dir, v.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	process, err := child.Start(b.Dir, v.name, b.Program, v.role, "--settings", file)
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	command := exec.Command(b.Program, v.role, "--settings", file)
-	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
-		return err
-	}
-	exited := make(chan struct{})
-	go func() {
-		_ = command.Wait() // how it ended shows in its log
-		close(exited)
-	}()
 	b.mu.Lock()
-	v.command, v.exited = command, exited
+	v.process = process
 	b.mu.Unlock()
 	return nil
 }
@@ -220,10 +218,10 @@
 // signal sends a signal to the process of a VM, if it runs.
 func (b *Bed) signal(v *vm, s syscall.Signal) {
 	b.mu.Lock()
-	command := v.command
+	process := v.process
 	b.mu.Unlock()
-	if command != nil {
-		_ = command.Process.Signal(s) // it may have ended
+	if process != nil {
+		_ = process.Signal(s) // it may have ended
 	}
 }
 
@@ -318,9 +316,8 @@
 func (b *Bed) Close() {
 	close(b.closed)
 	for _, v := range b.vms {
-		if v.command != nil {
-			b.signal(v, syscall.SIGKILL)
-			<-v.exited
+		if v.process != nil {
+			v.process.Kill()
 		}
 		if v.target != nil {
 			v.target.Close()
@@ -329,6 +326,7 @@
 			v.store.close()
 		}
 	}
+	b.mesh.close()
 	b.Store.Close()
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -38,6 +39,7 @@
 	{"reload", true, (*faults).reload, "balancer"},
 	{"crash target", false, (*faults).crashTarget, "agent"},
 	{"drain target", true, (*faults).drainTarget, "agent"},
+	{"harm the way to balancers", false, (*faults).harmMesh, "agent"},
 	{"harm the way to the store", false, (*faults).harmStore, "balancer"},
 	{"refuse all calls of the store", false, (*faults).refuseStore, ""},
 	{"forget history", false, (*faults).forgetHistory, ""},
@@ -105,7 +107,7 @@
 
 func (f *faults) kill(v *vm, last time.Duration) {
 	f.bed.signal(v, syscall.SIGKILL)
-	<-v.exited
+	<-v.process.Exited()
 	time.Sleep(last)
 	f.startAgain(v)
 }
@@ -113,12 +115,12 @@
 func (f *faults) restart(v *vm, _ time.Duration) {
 	f.bed.signal(v, syscall.SIGTERM)
 	select {
-	case <-v.exited:
+	case <-v.process.Exited():
 	case <-time.After(graceLimit):
 		f.report("VIOLATION %s did not stop within %s", v.name, graceLimit)
 		f.bed.Ledger.Violate(v.name + " did not stop in time")
 		f.bed.signal(v, syscall.SIGKILL)
-		<-v.exited
+		<-v.process.Exited()
 	}
 	f.startAgain(v)
 }
@@ -167,7 +169,7 @@
 	f.bed.mu.Lock()
 	target, id := v.target, v.targetID()
 	f.bed.mu.Unlock()
-	f.bed.Store.PutTarget(id, target.Entry(v.address(appPort), "draining"))
+	f.bed.Store.PutTarget(id, target.Entry(v.entryAddress(), "draining"))
 	target.Drain()
 	time.Sleep(drainTime)
 	target.Close()
@@ -182,6 +184,22 @@
 	v.store.set(modePass)
 }
 
+// harmMesh harms what passes between an agent and each balancer, or about half of them.
+func (f *faults) harmMesh(v *vm, last time.Duration) {
+	harm := harms[f.random.IntN(len(harms))]
+	all := f.random.IntN(2) == 0
+	var peers []netip.Addr
+	for _, peer := range f.bed.vms {
+		if peer.role == "balancer" && (all || f.random.IntN(2) == 0) {
+			peers = append(peers, peer.ip)
+		}
+	}
+	f.report("  %s between %s and %d balancers", harm.name, v.name, len(peers))
+	f.bed.mesh.set(v.ip, peers, harm)
+	time.Sleep(last)
+	f.bed.mesh.set(v.ip, peers, noHarm)
+}
+
 func (f *faults) refuseStore(_ *vm, last time.Duration) {
 	f.bed.Store.SetRefuse(func(*http.Request) int { return http.StatusServiceUnavailable })
 	time.Sleep(last)
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/cowslipward/cowslipward/internal/child"
+
 	"github.com/cowslipward/cowslipward/internal/standin/fabric"
 	"github.com/cowslipward/cowslipward/keys"
 )
@@ -62,8 +64,8 @@
 	options  Options
 	net      *subnet
 	http     *http.Client
-	platform *process
-	fabric   *process
+	platform *child.Process
+	fabric   *child.Process
 	ownDir   bool
 
 	mu       sync.Mutex
@@ -163,7 +165,7 @@
 }
 
 func (b *Bed) startPlatform() error {
-	p, err := start(b.Dir, "platform", b.program("cowslip-standin"), "platform",
+	p, err := child.Start(b.Dir, "platform", b.program("cowslip-standin"), "platform",
 		"--listen", b.net.at(hostPlatform, portPlatform).String())
 	if err != nil {
 		return err
@@ -203,7 +205,7 @@
 	if err := os.WriteFile(path, text, 0o644); err != nil {
 		return err
 	}
-	p, err := start(b.Dir, "fabric", b.program("cowslip-standin"), "fabric", "--config", path)
+	p, err := child.Start(b.Dir, "fabric", b.program("cowslip-standin"), "fabric", "--config", path)
 	if err != nil {
 		return err
 	}
@@ -211,7 +213,7 @@
 	return b.awaitHTTP(p, b.fabricURL()+"/counters")
 }
 
-func (b *Bed) awaitHTTP(p *process, url string) error {
+func (b *Bed) awaitHTTP(p *child.Process, url string) error {
 	deadline := time.Now().Add(startLimit)
 	for {
 		err := b.get(url, nil)
@@ -219,7 +221,7 @@
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return fmt.Errorf("%s does not answer: %w\n%s", p.name, err, p.tail(logTail))
+			return fmt.Errorf("%s does not answer: %w\n%s", p.Name, err, p.Tail(logTail))
 		}
 		time.Sleep(readyPeriod)
 	}
@@ -238,7 +240,7 @@
 // Stop ends every process that the test bed started. The directory stays unless it is a temporary one.
 func (b *Bed) Stop() {
 	for _, p := range b.processes() {
-		p.kill()
+		p.Kill()
 	}
 	if b.net != nil {
 		b.net.release()
@@ -248,13 +250,13 @@
 	}
 }
 
-func (b *Bed) processes() []*process {
-	all := []*process{b.fabric, b.platform}
+func (b *Bed) processes() []*child.Process {
+	all := []*child.Process{b.fabric, b.platform}
 	for _, vm := range b.VMs() {
 		daemon, target := vm.processes()
 		all = append(all, daemon, target)
 	}
-	var started []*process
+	var started []*child.Process
 	for _, p := range all {
 		if p != nil {
 			started = append(started, p)
--- a/internal/testbed/command.go
+++ b/internal/testbed/command.go
@@ -182,9 +182,9 @@
 		return err
 	}
 	daemon, target := vm.processes()
-	daemon.kill()
+	daemon.Kill()
 	if whole && target != nil {
-		target.kill()
+		target.Kill()
 	}
 	return nil
 }
@@ -196,7 +196,7 @@
 		return err
 	}
 	_, target := vm.processes()
-	target.kill()
+	target.Kill()
 	return nil
 }
 
@@ -207,7 +207,7 @@
 		return err
 	}
 	daemon, _ := vm.processes()
-	return daemon.signal(signal)
+	return daemon.Signal(signal)
 }
 
 // AwaitExit waits for the end of the daemon of a VM and returns how it ended.
@@ -217,7 +217,7 @@
 		return err
 	}
 	daemon, _ := vm.processes()
-	return daemon.await(limit)
+	return daemon.Await(limit)
 }
 
 // Restart starts the processes of a VM that have ended.
@@ -227,26 +227,17 @@
 		return err
 	}
 	daemon, target := vm.processes()
-	if target != nil && hasEnded(target) {
+	if target != nil && target.HasEnded() {
 		if err := vm.startTarget(); err != nil {
 			return err
 		}
 	}
-	if hasEnded(daemon) {
+	if daemon.HasEnded() {
 		return vm.startDaemon()
 	}
 	return nil
 }
 
-func hasEnded(p *process) bool {
-	select {
-	case <-p.exited:
-		return true
-	default:
-		return false
-	}
-}
-
 // AddBalancer starts a balancer on a new VM.
 func (b *Bed) AddBalancer(name, domain string) error {
 	vm := b.addVM(name, domain, Service{})
@@ -327,7 +318,7 @@
 	var names []string
 	for _, vm := range b.VMs() {
 		daemon, _ := vm.processes()
-		if daemon != nil && !hasEnded(daemon) {
+		if daemon != nil && !daemon.HasEnded() {
 			names = append(names, vm.Name)
 		}
 	}
--- a/internal/testbed/vm.go
+++ b/internal/testbed/vm.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cowslipward/cowslipward/internal/child"
+
 	"github.com/cowslipward/cowslipward/internal/standin/fabric"
 	"github.com/cowslipward/cowslipward/internal/standin/platform"
 )
@@ -25,12 +27,12 @@
 	ip  netip.Addr
 
 	mu     sync.Mutex
-	daemon *process // nil until it is started
-	target *process // nil for a balancer
+	daemon *child.Process // nil until it is started
+	target *child.Process // nil for a balancer
 }
 
 // processes returns the daemon and the target; each may be nil.
-func (v *VM) processes() (daemon, target *process) {
+func (v *VM) processes() (daemon, target *child.Process) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.daemon, v.target
@@ -107,7 +109,7 @@
 // startTarget starts the back end of the VM.
 func (v *VM) startTarget() error {
 	o := v.bed.options
-	p, err := start(v.bed.Dir, v.Name+".target", v.bed.program("cowslip-standin"), "target",
+	p, err := child.Start(v.bed.Dir, v.Name+".target", v.bed.program("cowslip-standin"), "target",
 		"--listen", v.at(portTarget).String(), "--control", v.at(portTargetControl).String(), "--service", v.Service,
 		"--slots", fmt.Sprint(v.Slots), "--cold-slots", fmt.Sprint(o.ColdSlots), "--cold-time", o.ColdTime.String())
 	v.mu.Lock()
@@ -126,7 +128,7 @@
 	if v.isBalancer() {
 		program = "cowslip-balancer"
 	}
-	p, err := start(v.bed.Dir, v.Name, v.bed.program(program), "--settings", path)
+	p, err := child.Start(v.bed.Dir, v.Name, v.bed.program(program), "--settings", path)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.daemon = p
@@ -143,12 +145,12 @@
 			return nil
 		}
 		select {
-		case <-daemon.exited:
-			return fmt.Errorf("%s has ended: %v\n%s", v.Name, daemon.err, daemon.tail(logTail))
+		case <-daemon.Exited():
+			return fmt.Errorf("%s has ended: %v\n%s", v.Name, daemon.Err(), daemon.Tail(logTail))
 		default:
 		}
 		if time.Now().After(deadline) {
-			return fmt.Errorf("%s is not ready after %s: %w\n%s", v.Name, limit, err, daemon.tail(logTail))
+			return fmt.Errorf("%s is not ready after %s: %w\n%s", v.Name, limit, err, daemon.Tail(logTail))
 		}
 		time.Sleep(readyPeriod)
 	}
