Burn report and flows of a target for the packet path; a reset may overtake the header of its answer

cowslipctl packets burn adds the outcomes that agents (answers, and requests that got none) and balancers (refused new flows) count by service, against the latency objectives of the configuration. cowslipctl packets flows lists what a target holds. The gate's file is split by concern; the report of outcomes is a package of its own, so that daemons do not link the page.

TestCutAnswerResetsStream failed once beside other load. The caller is told either way.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -32,7 +32,7 @@
 	Ready       func() (bool, string)                // optional
 	Load        func() admission.Snapshot            // of the target beside an agent; nil at a balancer
 	PeerLoads   func() map[string]admission.Snapshot // by VM, what an agent heard of others; optional
-	Burn        *burn.Recorder                       // nil at a balancer
+	Burn        *burn.Recorder[rules.ServiceID]      // nil at a balancer
 	Context     context.Context                      // ends the watch of revisions; nil for the life of the process
 }
 
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -53,7 +53,7 @@
 
 type stand struct {
 	source   *fleet.Static
-	recorder *burn.Recorder
+	recorder *burn.Recorder[rules.ServiceID]
 	server   *httptest.Server
 	client   adminv1connect.AdminServiceClient
 }
@@ -62,7 +62,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	s := &stand{source: fleet.NewStatic(viewOf(parse(t, text, 7))), recorder: burn.NewRecorder(nil)}
+	s := &stand{source: fleet.NewStatic(viewOf(parse(t, text, 7))), recorder: burn.NewRecorder[rules.ServiceID](nil)}
 	mux := http.NewServeMux()
 	mux.Handle(admin.NewHandler(admin.Config{
 		Self:    vm("bench-1", "leinster-a", 1),
--- a/agent/request_test.go
+++ b/agent/request_test.go
@@ -92,10 +92,12 @@
 	r := startRig(t, target)
 	for _, path := range []string{"/length", "/chunked"} {
 		response, err := r.caller.Do(newRequest(t, http.MethodGet, path, nil))
-		require.NoError(t, err)
-		_, err = io.ReadAll(response.Body)
-		var reset *http3.Error
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		var reset *http3.Error // it may overtake the header
 		require.ErrorAs(t, err, &reset)
+		require.Equal(t, http3.ErrCodeInternalError, reset.ErrorCode)
 	}
 }
 
--- a/burn/assess.go
+++ b/burn/assess.go
@@ -64,8 +64,8 @@
 	return float64(counts.Bad) / float64(counts.Total()) / allowed
 }
 
-// left writes the budget that is left, or how many times it was spent when that is more than once.
-func (a *Assessment) left() string {
+// BudgetLeft writes the budget that is left, or how many times it was spent when that is more than once.
+func (a *Assessment) BudgetLeft() string {
 	if a.Left < 0 {
 		return fmt.Sprintf("none, spent %.1f times", 1-a.Left)
 	}
--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipward/cowslipward/burn"
+	"github.com/cowslipward/cowslipward/burn/report"
 )
 
 // clock is a clock set by hand.
@@ -18,9 +19,9 @@
 
 func (c *clock) read() time.Time { return c.now }
 
-func newRecorder() (*burn.Recorder, *clock) {
+func newRecorder() (*burn.Recorder[int], *clock) {
 	c := &clock{now: time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)}
-	return burn.NewRecorder(c.read), c
+	return burn.NewRecorder[int](c.read), c
 }
 
 // Guards against outcomes that stay in a window after it has passed, or that are counted twice.
@@ -87,18 +88,18 @@
 	sum := a.Summary(1).Add(b.Summary(1))
 	require.Equal(t, uint64(400), sum.Windows[3].Total())
 	require.Len(t, sum.Series, 200)
-	report := burn.Report{
+	fleet := report.Report{
 		Title:       "Ballyrath",
 		At:          clockA.now,
-		Services:    []burn.Service{{Name: "<bench>", Objective: 99.9, Summary: sum}, {Name: "archive", Objective: 99}},
+		Services:    []report.Service{{Name: "<bench>", Objective: 99.9, Summary: sum}, {Name: "archive", Objective: 99}},
 		Reached:     2,
 		Unreachable: []string{"bench-3"},
 	}
 	var text, html strings.Builder
-	require.NoError(t, report.WriteText(&text))
+	require.NoError(t, fleet.WriteText(&text))
 	require.Contains(t, text.String(), "2 processes reached, 1 not: bench-3")
 	require.Contains(t, text.String(), "none, spent")
-	require.NoError(t, report.WriteHTML(&html))
+	require.NoError(t, fleet.WriteHTML(&html))
 	require.NotContains(t, html.String(), "<bench>")
 	require.NotContains(t, html.String(), "http")
 	decoder := xml.NewDecoder(strings.NewReader(html.String()))
--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -3,11 +3,10 @@
 package burn
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cowslipward/cowslipward/rules"
 )
 
 // Windows over which outcomes are counted.
@@ -83,12 +82,12 @@
 	return merged
 }
 
-// Recorder owns the counts of a process. They are in memory only.
-type Recorder struct {
+// Recorder owns the counts of a process by service. They are in memory only.
+type Recorder[K cmp.Ordered] struct {
 	clock func() time.Time
 
 	mu       sync.Mutex
-	services map[rules.ServiceID]*ring
+	services map[K]*ring
 }
 
 // ring holds the cells of a service. The cell of a period is its number modulo the length.
@@ -103,15 +102,15 @@
 }
 
 // NewRecorder returns an empty recorder. A nil clock means time.Now.
-func NewRecorder(clock func() time.Time) *Recorder {
+func NewRecorder[K cmp.Ordered](clock func() time.Time) *Recorder[K] {
 	if clock == nil {
 		clock = time.Now
 	}
-	return &Recorder{clock: clock, services: make(map[rules.ServiceID]*ring)}
+	return &Recorder[K]{clock: clock, services: make(map[K]*ring)}
 }
 
 // Record counts one outcome. Outcomes of services beyond the bound are dropped.
-func (r *Recorder) Record(service rules.ServiceID, good bool) {
+func (r *Recorder[K]) Record(service K, good bool) {
 	now := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -127,7 +126,7 @@
 	c.bad++
 }
 
-func (r *Recorder) ringOf(service rules.ServiceID, now time.Time) *ring {
+func (r *Recorder[K]) ringOf(service K, now time.Time) *ring {
 	if known, ok := r.services[service]; ok {
 		return known
 	}
@@ -158,10 +157,10 @@
 }
 
 // Services returns the services with outcomes, in the order of their IDs.
-func (r *Recorder) Services() []rules.ServiceID {
+func (r *Recorder[K]) Services() []K {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ids := make([]rules.ServiceID, 0, len(r.services))
+	ids := make([]K, 0, len(r.services))
 	for id := range r.services {
 		ids = append(ids, id)
 	}
@@ -170,7 +169,7 @@
 }
 
 // Summary returns the counts of a service up to now.
-func (r *Recorder) Summary(service rules.ServiceID) Summary {
+func (r *Recorder[K]) Summary(service K) Summary {
 	now := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/burn/chart.go
+++ b/burn/report/chart.go
@@ -1,10 +1,12 @@
-package burn
+package report
 
 import (
 	"fmt"
 	"math"
 	"strings"
 	"time"
+
+	"github.com/cowslipward/cowslipward/burn"
 )
 
 // Size of a chart in SVG units.
@@ -32,16 +34,16 @@
 	Text string
 }
 
-func newChart(series []Point, objective float64, at time.Time) chartView {
+func newChart(series []burn.Point, objective float64, at time.Time) chartView {
 	c := chartView{Width: chartWidth, Height: chartHeight, Empty: len(series) == 0}
-	start := at.Add(-Window6h)
+	start := at.Add(-burn.Window6h)
 	most, worst := 1.0, 2*(100-objective)/100
 	for _, point := range series {
 		most = math.Max(most, float64(point.Total()))
 		worst = math.Max(worst, badShare(point.Counts))
 	}
-	c.Traffic = path(series, start, func(p Point) float64 { return float64(p.Total()) / most })
-	c.Bad = path(series, start, func(p Point) float64 { return badShare(p.Counts) / worst })
+	c.Traffic = path(series, start, func(p burn.Point) float64 { return float64(p.Total()) / most })
+	c.Bad = path(series, start, func(p burn.Point) float64 { return badShare(p.Counts) / worst })
 	c.MostTraffic = grouped(uint64(most)) + " per minute"
 	c.MostBad = fmt.Sprintf("%.2f%% bad", 100*worst)
 	for hour := 1; hour < hourMarks; hour++ {
@@ -51,7 +53,7 @@
 	return c
 }
 
-func badShare(c Counts) float64 {
+func badShare(c burn.Counts) float64 {
 	if c.Total() == 0 {
 		return 0
 	}
@@ -59,13 +61,13 @@
 }
 
 func xOf(at, start time.Time) float64 {
-	return math.Round(chartWidth*float64(at.Sub(start))/float64(Window6h)*10) / 10
+	return math.Round(chartWidth*float64(at.Sub(start))/float64(burn.Window6h)*10) / 10
 }
 
 // path draws an area from the base line. Minutes without a point are at the base line.
-func path(series []Point, start time.Time, height func(Point) float64) string {
+func path(series []burn.Point, start time.Time, height func(burn.Point) float64) string {
 	var b strings.Builder
-	step := xOf(start.Add(PointPeriod), start)
+	step := xOf(start.Add(burn.PointPeriod), start)
 	base := chartHeight
 	last := -step
 	for _, point := range series {
--- a/burn/report.go
+++ b/burn/report/report.go
@@ -1,4 +1,5 @@
-package burn
+// Package report writes the outcomes of services against their objectives as a table or a page.
+package report
 
 import (
 	_ "embed"
@@ -8,13 +9,15 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/cowslipward/cowslipward/burn"
 )
 
 // Service is one service of a report.
 type Service struct {
 	Name      string
 	Objective float64 // in percent
-	Summary   Summary
+	Summary   burn.Summary
 }
 
 // Report is the state of all services at one moment.
@@ -31,10 +34,10 @@
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "SERVICE\tOBJECTIVE\tGOOD 6h\tBAD 6h\tBURN 5m\tBURN 30m\tBURN 1h\tBURN 6h\tBUDGET LEFT\tALERT")
 	for _, s := range r.Services {
-		a := Assess(s.Objective, s.Summary.Windows)
+		a := burn.Assess(s.Objective, s.Summary.Windows)
 		longest := s.Summary.Windows[len(s.Summary.Windows)-1]
 		fmt.Fprintf(table, "%s\t%g%%\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%s\t%s\n", s.Name, s.Objective,
-			longest.Good, longest.Bad, a.Rates[0], a.Rates[1], a.Rates[2], a.Rates[3], a.left(), a.Alert)
+			longest.Good, longest.Bad, a.Rates[0], a.Rates[1], a.Rates[2], a.Rates[3], a.BudgetLeft(), a.Alert)
 	}
 	if err := table.Flush(); err != nil {
 		return err
@@ -91,7 +94,7 @@
 	Chart     chartView
 }
 
-// barView is the burn rate of one window on a scale to FastBurn.
+// barView is the burn rate of one window on a scale to burn.FastBurn.
 type barView struct {
 	Window string
 	Rate   string
@@ -100,39 +103,39 @@
 	Counts string
 }
 
-var alertTexts = map[Alert]string{
-	AlertNone: "within budget",
-	AlertSlow: "slow loss: 6 h and 30 min burn at 6 or more",
-	AlertFast: "fast loss: 1 h and 5 min burn at 14.4 or more",
+var alertTexts = map[burn.Alert]string{
+	burn.AlertNone: "within budget",
+	burn.AlertSlow: "slow loss: 6 h and 30 min burn at 6 or more",
+	burn.AlertFast: "fast loss: 1 h and 5 min burn at 14.4 or more",
 }
 
 func newServiceView(s Service, at time.Time) serviceView {
-	a := Assess(s.Objective, s.Summary.Windows)
+	a := burn.Assess(s.Objective, s.Summary.Windows)
 	longest := s.Summary.Windows[len(s.Summary.Windows)-1]
 	view := serviceView{
 		Name:      s.Name,
 		Objective: fmt.Sprintf("%g%%", s.Objective),
 		Alert:     a.Alert.String(),
 		AlertText: alertTexts[a.Alert],
-		Left:      a.left(),
+		Left:      a.BudgetLeft(),
 		LeftWidth: 100 * min(1, max(0, a.Left)),
 		Good:      grouped(longest.Good),
 		Bad:       grouped(longest.Bad),
 		Share:     share(longest),
 		Chart:     newChart(s.Summary.Series, s.Objective, at),
 	}
-	for i, window := range Windows {
+	for i, window := range burn.Windows {
 		view.Bars = append(view.Bars, newBar(window, a.Rates[i], s.Summary.Windows[i]))
 	}
 	return view
 }
 
-func newBar(window time.Duration, rate float64, counts Counts) barView {
+func newBar(window time.Duration, rate float64, counts burn.Counts) barView {
 	class := "ok"
 	switch {
-	case rate >= FastBurn:
+	case rate >= burn.FastBurn:
 		class = "fast"
-	case rate >= SlowBurn:
+	case rate >= burn.SlowBurn:
 		class = "slow"
 	case rate >= 1:
 		class = "warm"
@@ -140,7 +143,7 @@
 	return barView{
 		Window: windowName(window),
 		Rate:   fmt.Sprintf("%.2f", rate),
-		Width:  100 * min(1, rate/FastBurn),
+		Width:  100 * min(1, rate/burn.FastBurn),
 		Class:  class,
 		Counts: fmt.Sprintf("%s bad of %s", grouped(counts.Bad), grouped(counts.Total())),
 	}
@@ -153,7 +156,7 @@
 	return fmt.Sprintf("%d h", int(window.Hours()))
 }
 
-func share(counts Counts) string {
+func share(counts burn.Counts) string {
 	if counts.Total() == 0 {
 		return "no requests"
 	}
--- a/cmd/cowslip-agent/wiring.go
+++ b/cmd/cowslip-agent/wiring.go
@@ -17,6 +17,7 @@
 	"github.com/cowslipward/cowslipward/fleet"
 	"github.com/cowslipward/cowslipward/internal/daemon"
 	"github.com/cowslipward/cowslipward/keys"
+	"github.com/cowslipward/cowslipward/rules"
 	"github.com/cowslipward/cowslipward/settings"
 	"github.com/cowslipward/cowslipward/tunnel"
 	"github.com/cowslipward/cowslipward/wire"
@@ -50,7 +51,7 @@
 	})
 }
 
-func newAgent(s *settings.Agent, id daemon.Identity, store *keys.Store, src *feed.Feed, conn *tunnel.Conn, recorder *burn.Recorder, log *slog.Logger) (*agent.Agent, error) {
+func newAgent(s *settings.Agent, id daemon.Identity, store *keys.Store, src *feed.Feed, conn *tunnel.Conn, recorder *burn.Recorder[rules.ServiceID], log *slog.Logger) (*agent.Agent, error) {
 	target, err := url.Parse(s.Target.URL)
 	if err != nil {
 		return nil, err
@@ -81,9 +82,9 @@
 	return a, nil
 }
 
-func newRecorder() *burn.Recorder { return burn.NewRecorder(nil) }
+func newRecorder() *burn.Recorder[rules.ServiceID] { return burn.NewRecorder[rules.ServiceID](nil) }
 
-func newAdmin(s *settings.Agent, id daemon.Identity, src *feed.Feed, a *agent.Agent, recorder *burn.Recorder) (*daemon.Admin, error) {
+func newAdmin(s *settings.Agent, id daemon.Identity, src *feed.Feed, a *agent.Agent, recorder *burn.Recorder[rules.ServiceID]) (*daemon.Admin, error) {
 	server, err := daemon.NewAdmin(s.Listen.Admin, a.Ready)
 	if err != nil {
 		return nil, err
--- a/cmd/cowslip-l4/agent.go
+++ b/cmd/cowslip-l4/agent.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/forward"
 	"github.com/cowslipward/cowslipward/internal/logsink"
 	"github.com/cowslipward/cowslipward/settings"
@@ -26,8 +27,8 @@
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(s, &s.PacketCommon, log, ready),
-		fx.Provide(newAgent),
-		fx.Invoke(startAgent, serveReady, serveAgentMetrics),
+		fx.Provide(newAgent, newOutcomes),
+		fx.Invoke(startAgent, serveReady, serveAgentStatus),
 	)
 	reload := func() {
 		if _, err := settings.LoadPacketAgent(file); err != nil {
@@ -39,7 +40,7 @@
 	return runApp(app, &s.PacketCommon, ready, reload, log)
 }
 
-func newAgent(s *settings.PacketAgent, log *slog.Logger) (*forward.Agent, error) {
+func newAgent(s *settings.PacketAgent, outcomes *burn.Recorder[string], log *slog.Logger) (*forward.Agent, error) {
 	return forward.OpenAgent(forward.AgentConfig{
 		Service:    s.Service,
 		Target:     s.Target,
@@ -48,6 +49,7 @@
 		CallerPort: s.Packets.Port(),
 		Log:        log,
 		Sampler:    logsink.NewSampler(s.Log.Rate),
+		Outcomes:   outcomes,
 	})
 }
 
@@ -61,7 +63,3 @@
 		a.Close,
 	))
 }
-
-func serveAgentMetrics(lc fx.Lifecycle, s *settings.PacketAgent, log *slog.Logger) error {
-	return serve(lc, s.Metrics, metricsHandler(), log)
-}
--- a/cmd/cowslip-l4/balancer.go
+++ b/cmd/cowslip-l4/balancer.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/forward"
 	"github.com/cowslipward/cowslipward/internal/logsink"
@@ -36,7 +37,7 @@
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(s, &s.PacketCommon, log, ready, &confirmation{}),
-		fx.Provide(newBalancer, newSyncer),
+		fx.Provide(newBalancer, newSyncer, newOutcomes),
 		fx.Invoke(startBalancer, serveReady, servePeers, serveBalancerStatus),
 		fx.Populate(&syncer),
 	)
@@ -63,7 +64,7 @@
 	}
 }
 
-func newBalancer(s *settings.PacketBalancer, confirm *confirmation, log *slog.Logger) (*forward.Balancer, error) {
+func newBalancer(s *settings.PacketBalancer, confirm *confirmation, outcomes *burn.Recorder[string], log *slog.Logger) (*forward.Balancer, error) {
 	domainOut := time.Duration(s.DomainOut)
 	if s.OutFlows == settings.OutFlowsKeep {
 		domainOut = 0
@@ -75,6 +76,7 @@
 		DomainOut: domainOut,
 		Log:       log,
 		Sampler:   logsink.NewSampler(s.Log.Rate),
+		Outcomes:  outcomes,
 		Confirm:   confirm.ask,
 	})
 }
--- a/cmd/cowslip-l4/status.go
+++ b/cmd/cowslip-l4/status.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/fx"
 
+	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/forward"
 	"github.com/cowslipward/cowslipward/packetstatus"
@@ -17,11 +18,12 @@
 )
 
 // serveBalancerStatus adds a balancer's own pages to the metrics address.
-func serveBalancerStatus(lc fx.Lifecycle, s *settings.PacketBalancer, b *forward.Balancer, v *viewsync.Syncer, ready *readiness, log *slog.Logger) error {
+func serveBalancerStatus(lc fx.Lifecycle, s *settings.PacketBalancer, b *forward.Balancer, v *viewsync.Syncer, ready *readiness, outcomes *burn.Recorder[string], log *slog.Logger) error {
 	metrics.NewGauge("cowslip_view_age_seconds", func() float64 { return v.Age().Seconds() })
 	metrics.NewGauge("cowslip_flow_table_entries", func() float64 { return float64(b.Flows()) })
 	metrics.NewGauge("cowslip_peers", func() float64 { return float64(v.Peers()) })
 	mux := metricsHandler()
+	serveOutcomes(mux, outcomes)
 	mux.HandleFunc("GET "+packetstatus.StatusPath, func(w http.ResponseWriter, _ *http.Request) {
 		status := b.Status()
 		status.VM, status.Ready, status.Reading, status.Peers = s.VM, ready.state.Load(), v.Reading(), v.Peers()
@@ -39,6 +41,31 @@
 	return serve(lc, s.Metrics, mux, log)
 }
 
+// serveAgentStatus adds an agent's own pages to the metrics address.
+func serveAgentStatus(lc fx.Lifecycle, s *settings.PacketAgent, a *forward.Agent, outcomes *burn.Recorder[string], log *slog.Logger) error {
+	mux := metricsHandler()
+	serveOutcomes(mux, outcomes)
+	mux.HandleFunc("GET "+packetstatus.FlowsPath, func(w http.ResponseWriter, _ *http.Request) {
+		status := a.Status()
+		status.VM = s.VM
+		writeJSON(w, status)
+	})
+	return serve(lc, s.Metrics, mux, log)
+}
+
+func newOutcomes() *burn.Recorder[string] { return burn.NewRecorder[string](nil) }
+
+// serveOutcomes adds the page of outcomes by service.
+func serveOutcomes(mux *http.ServeMux, outcomes *burn.Recorder[string]) {
+	mux.HandleFunc("GET "+packetstatus.OutcomesPath, func(w http.ResponseWriter, _ *http.Request) {
+		list := []packetstatus.Outcomes{}
+		for _, service := range outcomes.Services() {
+			list = append(list, packetstatus.Outcomes{Service: service, Summary: outcomes.Summary(service)})
+		}
+		writeJSON(w, list)
+	})
+}
+
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(value); err != nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -230,7 +230,7 @@
 	}
 	t = d.chooser.LeastBusy(d.view, e.service, key.Hash(), now)
 	if t == nil {
-		return d.refuse(key, CauseNoTarget, p, now)
+		return d.refuse(key, e, CauseNoTarget, p, now)
 	}
 	e.target, e.waiting, e.tried = t, true, e.tried[:0]
 	return d.offer(e, true, CauseWait, p, now)
@@ -247,12 +247,12 @@
 }
 
 // refuse resets a flow that cannot be served, if the view is fresh enough to know.
-func (d *Dispatcher) refuse(key flow.Key, cause Cause, p *flow.Packet, now time.Duration) Decision {
+func (d *Dispatcher) refuse(key flow.Key, e *entry, cause Cause, p *flow.Packet, now time.Duration) Decision {
 	d.table.Delete(key)
 	if now-d.known > freshLimit {
-		return Decision{Cause: cause}
+		return Decision{Cause: cause, Service: e.service}
 	}
-	return Decision{Outcome: OutcomeReset, Cause: cause, Seq: p.Ack}
+	return Decision{Outcome: OutcomeReset, Cause: cause, Service: e.service, Seq: p.Ack}
 }
 
 // forward returns the decision to send a packet to the target of its flow.
@@ -367,7 +367,7 @@
 // the flow is refused, so that the caller does not wait in vain.
 func (d *Dispatcher) overloaded(key flow.Key, e *entry, p *flow.Packet, now time.Duration) Decision {
 	if p.Copy >= lastCopy {
-		return d.refuse(key, CauseOverload, p, now)
+		return d.refuse(key, e, CauseOverload, p, now)
 	}
 	e.waiting, e.target, e.tried = false, nil, nil
 	return Decision{Cause: CauseNoRoom}
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/encap"
 	"github.com/cowslipward/cowslipward/flow"
@@ -26,6 +27,7 @@
 	CallerPort uint16         // on which callers receive packets
 	Log        *slog.Logger
 	Sampler    *logsink.Sampler
+	Outcomes   *burn.Recorder[string] // by service
 }
 
 const (
@@ -55,6 +57,7 @@
 	index     map[flow.Endpoint]int
 	parked    map[flow.Key]parked
 	searches  map[searchKey]passingSearch
+	objective map[flow.Endpoint]time.Duration // of the routes by which flows came
 	probing   bool
 	probed    time.Duration
 	armed     bool // the timer for flows that wait runs
@@ -74,18 +77,19 @@
 		return nil, fmt.Errorf("open agent: %w", err)
 	}
 	a := &Agent{
-		config:   c,
-		tag:      directory.ServiceTag(c.Service),
-		target:   flow.EndpointOf(c.Target),
-		tunnel:   tunnel,
-		outbound: outbound,
-		clock:    newClock(),
-		boot:     rand.Uint32N(1<<12-1) + 1,
-		gate:     targetgate.New(),
-		index:    make(map[flow.Endpoint]int),
-		parked:   make(map[flow.Key]parked),
-		searches: make(map[searchKey]passingSearch),
-		closed:   make(chan struct{}),
+		config:    c,
+		tag:       directory.ServiceTag(c.Service),
+		target:    flow.EndpointOf(c.Target),
+		tunnel:    tunnel,
+		outbound:  outbound,
+		clock:     newClock(),
+		boot:      rand.Uint32N(1<<12-1) + 1,
+		gate:      targetgate.New(),
+		index:     make(map[flow.Endpoint]int),
+		parked:    make(map[flow.Key]parked),
+		searches:  make(map[searchKey]passingSearch),
+		objective: make(map[flow.Endpoint]time.Duration),
+		closed:    make(chan struct{}),
 	}
 	a.timerOut = a.newOutboxes()
 	return a, nil
@@ -163,6 +167,7 @@
 // offer decides about a new flow.
 func (a *Agent) offer(out *agentBoxes, h *encap.Header, p *flow.Packet, packet []byte, sender int, now time.Duration) {
 	key := p.FromCaller()
+	a.noteObjective(key.Service, time.Duration(h.Aim)*time.Millisecond)
 	verdict, reason := a.gate.Offer(&targetgate.Offer{
 		Key:      key,
 		Copy:     p.Copy,
@@ -269,18 +274,6 @@
 	a.release(out, now)
 }
 
-// answered counts the first bytes of an answer.
-func (a *Agent) answered(key flow.Key, status int, took time.Duration) {
-	answerTime.Update(took.Seconds())
-	answers[status/100].Inc()
-	if status >= 500 || took > slowAnswer {
-		a.logFlow("request_answered", key, "status", status, "took", took, "load", a.gate.Load())
-	}
-}
-
-// slowAnswer is the time of a request above which its answer is logged.
-const slowAnswer = 500 * time.Millisecond
-
 // returned sends a packet that the target does not take back to the balancer that sent it.
 func (a *Agent) returned(out *agentBoxes, p *flow.Packet, packet []byte, now time.Duration) {
 	sender, attempt, ok := a.senderOf(platform.Token(packet))
--- a/forward/agent_balancers.go
+++ b/forward/agent_balancers.go
@@ -66,6 +66,7 @@
 		a.mu.Lock()
 		a.gate.Expire(now)
 		a.probeIfSuspect(now)
+		a.countLost()
 		h := a.header(encap.KindReport, now)
 		for i := range a.balancers {
 			if now-a.balancers[i].seen < balancerIdle {
--- a/forward/agent_metrics.go
+++ b/forward/agent_metrics.go
@@ -17,8 +17,9 @@
 		targetgate.Refuse: metrics.NewCounter(`cowslip_new_flows_total{verdict="refuse"}`),
 		targetgate.Wait:   metrics.NewCounter(`cowslip_new_flows_total{verdict="wait"}`),
 	}
-	returned = newReturnCounters()
-	answers  = newAnswerCounters()
+	lostRequests = metrics.NewCounter("cowslip_lost_requests_total")
+	returned     = newReturnCounters()
+	answers      = newAnswerCounters()
 )
 
 // answerClasses are the first digits that a status of three digits can have.
--- /dev/null
+++ b/forward/agent_outcomes.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/packetstatus"
+)
+
+// maxObjectives bounds the routes whose objectives an agent remembers. It forgets all of them beyond that; the next new
+// flows bring them again.
+const maxObjectives = 256
+
+// noteObjective remembers the time within which an answer by a route is in time. Zero is no objective.
+func (a *Agent) noteObjective(route flow.Endpoint, objective time.Duration) {
+	if objective == 0 {
+		return
+	}
+	if len(a.objective) >= maxObjectives {
+		clear(a.objective)
+	}
+	a.objective[route] = objective
+}
+
+// firstServerError is the lowest status that tells an error of the target.
+const firstServerError = 500
+
+// answered counts the first bytes of an answer.
+func (a *Agent) answered(key flow.Key, status int, took time.Duration) {
+	answerTime.Update(took.Seconds())
+	answers[status/100].Inc()
+	objective, known := a.objective[key.Service]
+	a.config.Outcomes.Record(a.config.Service, status < firstServerError && (!known || took <= objective))
+	if status >= firstServerError || took > slowAnswer {
+		a.logFlow("request_answered", key, "status", status, "took", took, "load", a.gate.Load())
+	}
+}
+
+// slowAnswer is the time of a request above which its answer is logged.
+const slowAnswer = 500 * time.Millisecond
+
+// countLost counts the requests that ended without an answer.
+func (a *Agent) countLost() {
+	for range a.gate.TakeLost() {
+		a.config.Outcomes.Record(a.config.Service, false)
+		lostRequests.Inc()
+	}
+}
+
+// Status describes the agent, its target and the flows there for operators, as far as the agent itself knows.
+func (a *Agent) Status() packetstatus.Agent {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.now()
+	status := packetstatus.Agent{
+		Service: a.config.Service,
+		Target:  a.config.Target.String(),
+		Load:    a.gate.Load(),
+		Slots:   a.gate.Slots(),
+		Waiting: a.gate.Waiting(),
+		Silent:  a.gate.Silent(now),
+		Down:    a.gate.Down(),
+	}
+	for _, f := range a.gate.Flows(packetstatus.MaxFlows, now) {
+		status.Flows = append(status.Flows, packetstatus.Flow{Flow: f.Key.String(), State: f.Phase.String(), AgeMS: f.Age.Milliseconds()})
+	}
+	return status
+}
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/dispatch"
 	"github.com/cowslipward/cowslipward/encap"
@@ -27,6 +28,7 @@
 	DomainOut time.Duration  // after which a failure domain that is out gets no packet; 0: open flows go on
 	Log       *slog.Logger
 	Sampler   *logsink.Sampler
+	Outcomes  *burn.Recorder[string] // by service
 	// Confirm asks for a view that the store confirms now. It does not block.
 	Confirm func()
 }
@@ -252,6 +254,9 @@
 	case dispatch.OutcomeReset:
 		to := flow.Endpoint{IP: key.Caller.IP, Port: b.config.Packets.Port()}
 		out.callers.sendOwned(to, platform.AppendReset(nil, key, d.Seq))
+		if d.Cause == dispatch.CauseOverload || d.Cause == dispatch.CauseNoTarget {
+			b.config.Outcomes.Record(d.Service, false)
+		}
 	}
 	b.count(d.Cause)
 	if d.Cause != dispatch.CauseOpen && d.Cause != dispatch.CauseSearching {
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/forward"
@@ -38,6 +39,7 @@
 	agents    []*forward.Agent
 	targets   []*platformtest.Target
 	caller    *platformtest.Caller
+	outcomes  *burn.Recorder[string]
 
 	mu   sync.Mutex
 	pick func(key flow.Key) int // balancer of a packet
@@ -48,7 +50,7 @@
 }
 
 func newBed(t *testing.T, balancers, targets int) *bed {
-	b := &bed{t: t, ledger: platformtest.NewLedger(), dir: directory.New()}
+	b := &bed{t: t, ledger: platformtest.NewLedger(), dir: directory.New(), outcomes: burn.NewRecorder[string](nil)}
 	b.pick = func(flow.Key) int { return 0 }
 	b.apply(directory.Record{Kind: directory.KindConfig, Config: &directory.Config{
 		Version: 1,
@@ -99,12 +101,13 @@
 func (b *bed) startBalancer(n int) {
 	var balancer *forward.Balancer
 	balancer, err := forward.OpenBalancer(forward.BalancerConfig{
-		Domain:  "a",
-		Packets: addressOf(1, n, packetsPort),
-		Tunnel:  addressOf(1, n, tunnelPort),
-		Log:     slog.New(slog.DiscardHandler),
-		Sampler: logsink.NewSampler(1),
-		Confirm: func() { go func() { balancer.SetView(b.dir.View(), balancer.Now()) }() },
+		Domain:   "a",
+		Packets:  addressOf(1, n, packetsPort),
+		Tunnel:   addressOf(1, n, tunnelPort),
+		Log:      slog.New(slog.DiscardHandler),
+		Sampler:  logsink.NewSampler(1),
+		Outcomes: b.outcomes,
+		Confirm:  func() { go func() { balancer.SetView(b.dir.View(), balancer.Now()) }() },
 	})
 	require.NoError(b.t, err)
 	go balancer.Run()
@@ -121,6 +124,7 @@
 		CallerPort: packetsPort,
 		Log:        slog.New(slog.DiscardHandler),
 		Sampler:    logsink.NewSampler(1),
+		Outcomes:   b.outcomes,
 	})
 	require.NoError(b.t, err)
 	go agent.Run()
@@ -272,3 +276,23 @@
 	counts, _ := b.ledger.Snapshot()
 	require.Equal(t, 200, counts.OK)
 }
+
+// Operators see the requests that a target lost and those that it answered, and the flows that it holds.
+func TestOutcomesAndFlowsOfATarget(t *testing.T) {
+	b := newBed(t, 1, 1)
+	f := b.open()
+	for n := range 5 {
+		require.NoError(t, b.request(f, fmt.Sprintf("r-%d", n)))
+	}
+	status := b.agents[0].Status()
+	require.Len(t, status.Flows, 1)
+	require.Equal(t, "idle", status.Flows[0].State)
+	require.Equal(t, 4, status.Slots)
+	b.setTarget(0, directory.TargetDraining)
+	b.publish()
+	_, err := b.caller.Open(context.Background(), serviceAddress)
+	require.ErrorIs(t, err, platformtest.ErrReset)
+	counts := b.outcomes.Summary("bench").Windows[0]
+	require.EqualValues(t, 5, counts.Good)
+	require.EqualValues(t, 1, counts.Bad, "the flow that was refused")
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -60,7 +60,7 @@
 			server.Close()
 			continue
 		}
-		recorder := burn.NewRecorder(nil)
+		recorder := burn.NewRecorder[rules.ServiceID](nil)
 		for i := range 1000 {
 			recorder.Record(1, i%100 != 0)
 		}
--- a/internal/ctl/packets.go
+++ b/internal/ctl/packets.go
@@ -19,7 +19,8 @@
 const packetsTimeout = 3 * time.Second
 
 func newPackets() *cobra.Command {
-	return group("packets", "Look at the packet path", newPacketsStatus(), newPacketsExplain(), newPacketsTrace())
+	return group("packets", "Look at the packet path", newPacketsStatus(), newPacketsExplain(), newPacketsFlows(),
+		newPacketsBurn(), newPacketsTrace())
 }
 
 func newPacketsStatus() *cobra.Command {
--- /dev/null
+++ b/internal/ctl/packets_flows.go
@@ -0,0 +1,41 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cowslipward/cowslipward/packetstatus"
+)
+
+func newPacketsFlows() *cobra.Command {
+	var out output
+	command := &cobra.Command{
+		Use:   "flows ADDRESS",
+		Short: "Show the flows at a target; the address is under \"metrics\" in its agent's settings",
+		Args:  cobra.ExactArgs(1),
+		RunE: runs(func(c *cobra.Command, args []string) error {
+			if err := out.check(); err != nil {
+				return err
+			}
+			var agent packetstatus.Agent
+			if err := askProcess(c.Context(), args[0], packetstatus.FlowsPath, nil, &agent); err != nil {
+				return err
+			}
+			return out.print(c.OutOrStdout(), agent, func(w io.Writer) { printFlows(w, &agent) })
+		}),
+	}
+	out.add(command)
+	return command
+}
+
+func printFlows(w io.Writer, a *packetstatus.Agent) {
+	fmt.Fprintf(w, "%s: target %s of %s, %d of %d slots in use, %d flows wait, silent %t, down %t\n\n", a.VM, a.Target, a.Service,
+		a.Load, a.Slots, a.Waiting, a.Silent, a.Down)
+	fmt.Fprintln(w, "FLOW\tSTATE\tAGE")
+	for _, f := range a.Flows {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", f.Flow, f.State, time.Duration(f.AgeMS)*time.Millisecond)
+	}
+}
--- a/internal/ctl/packets_test.go
+++ b/internal/ctl/packets_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipward/cowslipward/internal/ctl"
+	"github.com/cowslipward/cowslipward/packetstatus"
 )
 
 // run runs cowslipctl and returns its exit code, its output and its errors.
@@ -58,3 +61,58 @@
 	require.Equal(t, ctl.ExitPartial, code)
 	require.Contains(t, out, "the target is draining")
 }
+
+// process serves the pages of a process of the packet path.
+func process(t *testing.T, pages map[string]string) string {
+	mux := http.NewServeMux()
+	for path, body := range pages {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) })
+	}
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestPacketsFlowsListsTheFlowsOfATarget(t *testing.T) {
+	agent := process(t, map[string]string{packetstatus.FlowsPath: `{"vm":"side-1","target":"10.0.0.1:80","service":"bench","load":1,
+		"slots":9,"flows":[{"flow":"100.64.0.1:5-198.18.0.1:443","state":"working","age_ms":1500}]}`})
+	code, out, _ := runCommand("packets", "flows", agent)
+	require.Equal(t, ctl.ExitDone, code)
+	require.Contains(t, out, "1 of 9 slots")
+	require.Regexp(t, `100.64.0.1:5-198.18.0.1:443\s+working\s+1.5s`, out)
+	code, _, _ = runCommand("packets", "flows", "127.0.0.1:1")
+	require.Equal(t, ctl.ExitFailed, code)
+}
+
+func TestPacketsBurnAddsAgentsAndBalancers(t *testing.T) {
+	const outcomes = `[{"service":"bench","summary":{"Windows":[{"Good":%d,"Bad":%d},{"Good":%d,"Bad":%d},{"Good":%d,"Bad":%d},{"Good":%d,"Bad":%d}]}}]`
+	page := func(good, bad int) string {
+		return fmt.Sprintf(outcomes, good, bad, good, bad, good, bad, good, bad)
+	}
+	agent := process(t, map[string]string{packetstatus.OutcomesPath: page(900, 50)})
+	balancer := process(t, map[string]string{packetstatus.OutcomesPath: page(0, 50)})
+	code, out, _ := runCommand("packets", "burn", "--output", "json", "--objective", "99", agent, balancer)
+	require.Equal(t, ctl.ExitDone, code)
+	var got struct {
+		Services []struct {
+			Name    string `json:"name"`
+			Alert   string `json:"alert"`
+			Windows []struct {
+				Good     int     `json:"good"`
+				Bad      int     `json:"bad"`
+				BurnRate float64 `json:"burn_rate"`
+			} `json:"windows"`
+		} `json:"services"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(out), &got), out)
+	require.Len(t, got.Services, 1)
+	require.Equal(t, 900, got.Services[0].Windows[0].Good)
+	require.Equal(t, 100, got.Services[0].Windows[0].Bad)
+	require.InDelta(t, 10, got.Services[0].Windows[0].BurnRate, 0.01)
+	require.Equal(t, "slow", got.Services[0].Alert)
+	code, _, errs := runCommand("packets", "burn", agent, "127.0.0.1:1")
+	require.Equal(t, ctl.ExitPartial, code)
+	require.Contains(t, errs, "1 of 2 processes")
+	code, _, _ = runCommand("packets", "burn", "--objective", "100", agent)
+	require.Equal(t, ctl.ExitUsage, code)
+}
--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -12,6 +12,7 @@
 
 	"github.com/cowslipward/cowslipward/admin"
 	"github.com/cowslipward/cowslipward/burn"
+	"github.com/cowslipward/cowslipward/burn/report"
 	adminv1 "github.com/cowslipward/cowslipward/gen/cowslipward/admin/v1"
 	"github.com/cowslipward/cowslipward/gen/cowslipward/admin/v1/adminv1connect"
 )
@@ -56,22 +57,20 @@
 		return err
 	}
 	all := gather(command.Context(), f, members, askOutcomes)
-	report := &burn.Report{Title: title, At: time.Now(), Reached: len(all.answers), Unreachable: all.unreachable}
-	report.Services = addOutcomes(all.answers)
-	if err := printReport(command.OutOrStdout(), o, report); err != nil {
+	result := &report.Report{Title: title, At: time.Now(), Reached: len(all.answers), Unreachable: all.unreachable}
+	result.Services = addOutcomes(all.answers)
+	if err := printReport(command.OutOrStdout(), o, result); err != nil {
 		return err
 	}
-	if page != "" {
-		if err := writePage(page, report); err != nil {
-			return err
-		}
+	if err := writePage(page, result); err != nil {
+		return err
 	}
 	return unreached(all.unreachable, len(members))
 }
 
 // addOutcomes adds the outcomes of the processes by service, in the order in which the services first occur.
-func addOutcomes(answers []*adminv1.OutcomesResponse) []burn.Service {
-	var services []burn.Service
+func addOutcomes(answers []*adminv1.OutcomesResponse) []report.Service {
+	var services []report.Service
 	index := make(map[string]int)
 	for _, answer := range answers {
 		for _, outcomes := range answer.GetServices() {
@@ -79,7 +78,7 @@
 			if !ok {
 				at = len(services)
 				index[outcomes.GetService()] = at
-				services = append(services, burn.Service{Name: outcomes.GetService(), Objective: outcomes.GetObjectivePercent()})
+				services = append(services, report.Service{Name: outcomes.GetService(), Objective: outcomes.GetObjectivePercent()})
 			}
 			services[at].Summary = services[at].Summary.Add(admin.SummaryOf(outcomes))
 		}
@@ -110,12 +109,12 @@
 	BurnRate float64 `json:"burn_rate"`
 }
 
-func printReport(w io.Writer, o *output, report *burn.Report) error {
+func printReport(w io.Writer, o *output, r *report.Report) error {
 	if o.format != "json" {
-		return report.WriteText(w)
+		return r.WriteText(w)
 	}
-	data := burnData{At: report.At.UTC(), Reached: report.Reached, Unreachable: report.Unreachable}
-	for _, one := range report.Services {
+	data := burnData{At: r.At.UTC(), Reached: r.Reached, Unreachable: r.Unreachable}
+	for _, one := range r.Services {
 		assessment := burn.Assess(one.Objective, one.Summary.Windows)
 		service := serviceData{
 			Name: one.Name, Objective: one.Objective, BudgetLeft: assessment.Left, Alert: assessment.Alert.String(),
@@ -131,12 +130,16 @@
 	return printJSON(w, data)
 }
 
-func writePage(name string, report *burn.Report) error {
+// writePage writes the report as a page, unless no file is named.
+func writePage(name string, r *report.Report) error {
+	if name == "" {
+		return nil
+	}
 	file, err := os.Create(name)
 	if err != nil {
 		return err
 	}
-	if err := report.WriteHTML(file); err != nil {
+	if err := r.WriteHTML(file); err != nil {
 		_ = file.Close()
 		return fmt.Errorf("write %s: %w", name, err)
 	}
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -116,6 +116,7 @@
 	offered time.Duration // when the target was last given a new flow
 	down    bool          // a probe showed that the target does not run
 	started time.Duration // when the target showed that it had started anew
+	lost    int           // requests that ended without an answer since the last call of TakeLost
 }
 
 type opening struct {
@@ -138,48 +139,6 @@
 // Slots returns the slots of the target as the last offer named them.
 func (g *Gate) Slots() int { return g.slots }
 
-// Silent reports whether the target leaves new flows without an answer.
-func (g *Gate) Silent(now time.Duration) bool {
-	return g.down || (g.owed != 0 && now-g.owed > silenceLimit)
-}
-
-// Suspect reports whether the target says so little that it may not run.
-func (g *Gate) Suspect(now time.Duration) bool {
-	return (g.owed != 0 && now-g.owed > suspectAfter) || (g.owedFor != 0 && now-g.owedFor > suspectWork)
-}
-
-// Probed takes over what a probe showed. A target that does not run holds no flow.
-func (g *Gate) Probed(runs bool, now time.Duration) {
-	g.down = !runs
-	if runs {
-		g.owed, g.owedFor = 0, 0
-		return
-	}
-	for key, s := range g.busy {
-		g.end(key, s)
-	}
-	g.owedFor = 0
-	g.owed = now
-}
-
-// Down reports whether a probe showed that the target does not run, and nothing was heard of it since.
-func (g *Gate) Down() bool { return g.down }
-
-// Quiet reports whether the target was not heard of for the time.
-func (g *Gate) Quiet(limit, now time.Duration) bool { return now-g.heard > limit }
-
-// Asked notes a packet that the target answers at once.
-func (g *Gate) Asked(now time.Duration) {
-	if g.owed == 0 {
-		g.owed = now
-	}
-}
-
-// hear notes a packet of the target.
-func (g *Gate) hear(now time.Duration) {
-	g.owed, g.owedFor, g.heard, g.down = 0, 0, now, false
-}
-
 // Offer decides about a new flow.
 func (g *Gate) Offer(o *Offer, now time.Duration) (Verdict, encap.Reason) {
 	g.slots = max(1, o.Slots)
@@ -256,8 +215,7 @@
 	g.opening = kept
 	for key, s := range g.busy {
 		if now-s.since > workLimit {
-			s.phase = requestNone
-			delete(g.busy, key)
+			g.lose(key, s)
 		}
 	}
 	for len(g.cold) > 0 && now-g.cold[0] >= time.Second {
@@ -265,110 +223,6 @@
 	}
 }
 
-// FromCaller notes a packet of an open flow on its way to the target. A balancer that searches the flow is told once the
-// target shows that it holds it. FromCaller reports whether that is known already, and whether a request begins.
-func (g *Gate) FromCaller(key flow.Key, p *flow.Packet, asker flow.Endpoint, now time.Duration) (known, begins bool) {
-	s, held := g.flows.Get(key, now)
-	if !held {
-		s = &state{}
-		g.flows.Put(key, s, now)
-	}
-	if asker.IsValid() && !s.known {
-		s.asker = asker
-	}
-	switch {
-	case p.Reset:
-		g.end(key, s)
-	case asker.IsValid() && !s.known:
-		// A search asks all targets: the flow is work only where the target holds it.
-	case p.DataLen > 0 && g.isNew(s, p):
-		begins = s.phase != requestWork
-		s.phase, s.since = requestWork, now
-		g.busy[key] = s
-		if g.owedFor == 0 {
-			g.owedFor = now
-		}
-	}
-	return s.known, begins
-}
-
-// isNew reports whether the packet's data was not seen before, and remembers it.
-func (g *Gate) isNew(s *state, p *flow.Packet) bool {
-	end := p.Seq + uint32(p.DataLen)
-	if s.seqSeen && int32(end-s.seq) <= 0 {
-		return false
-	}
-	s.seq, s.seqSeen = end, true
-	return true
-}
-
-// FromTarget notes a packet of the target. It returns the balancer that searches the flow, if one does, and the time of
-// the request that the packet begins to answer, or 0.
-func (g *Gate) FromTarget(key flow.Key, p *flow.Packet, now time.Duration) (asker flow.Endpoint, took time.Duration) {
-	g.hear(now)
-	s, held := g.flows.Get(key, now)
-	if !held {
-		s = &state{}
-		g.flows.Put(key, s, now)
-	}
-	s.known = s.known || !p.Syn
-	s.heard = now
-	asker, s.asker = s.asker, flow.Endpoint{}
-	if !s.known {
-		s.asker, asker = asker, flow.Endpoint{}
-	}
-	switch {
-	case p.Reset:
-		g.end(key, s)
-		g.flows.Delete(key)
-	case p.DataLen > 0 || p.Fin:
-		took = g.answered(key, s, now)
-	}
-	return asker, took
-}
-
-// answered ends the work on a request with the first data of its answer. It returns the time that the request took.
-func (g *Gate) answered(key flow.Key, s *state, now time.Duration) (took time.Duration) {
-	if s.phase == requestWork {
-		took = now - s.since
-		g.work += time.Duration(workWeight * float64(took-g.work))
-	}
-	g.end(key, s)
-	return took
-}
-
-func (g *Gate) end(key flow.Key, s *state) {
-	s.phase = requestNone
-	delete(g.busy, key)
-}
-
-// Returned notes that the target sent a packet of a flow back: it does not hold the flow.
-func (g *Gate) Returned(key flow.Key, now time.Duration) {
-	g.hear(now)
-	s, held := g.flows.Get(key, now)
-	if !held {
-		return
-	}
-	g.end(key, s)
-	g.flows.Delete(key)
-	if s.known && s.heard > g.started {
-		g.startedAnew(now)
-	}
-}
-
-// freshWork is the age up to which a request is taken for one that a target got after its start.
-const freshWork = 50 * time.Millisecond
-
-// startedAnew forgets the requests that a target had before it started again: it sent back a flow that it held.
-func (g *Gate) startedAnew(now time.Duration) {
-	g.started = now
-	for key, s := range g.busy {
-		if now-s.since > freshWork {
-			g.end(key, s)
-		}
-	}
-}
-
 // Next returns a flow that waited and may go to the target now.
 func (g *Gate) Next(now time.Duration) (flow.Key, bool) {
 	g.Expire(now)
--- a/targetgate/gate_test.go
+++ b/targetgate/gate_test.go
@@ -283,3 +283,62 @@
 	g.Expire(2*time.Second + 100*ms)
 	require.Equal(t, 1, g.Load(), "another flow of before says nothing new")
 }
+
+// The outcomes of a service count requests that end without an answer, whatever ended them, and each once.
+func TestRequestsWithoutAnAnswerAreCounted(t *testing.T) {
+	const began = time.Second
+	ends := map[string]func(*targetgate.Gate){
+		"reset of the target":   func(g *targetgate.Gate) { g.FromTarget(keyOf(1), &flow.Packet{Reset: true}, began+ms) },
+		"returned":              func(g *targetgate.Gate) { g.Returned(keyOf(1), began+ms) },
+		"target does not run":   func(g *targetgate.Gate) { g.Probed(false, began+ms) },
+		"no answer for long":    func(g *targetgate.Gate) { g.Expire(began + time.Minute) },
+		"target started anew":   func(g *targetgate.Gate) { restart(g, began+time.Second) },
+		"answered":              nil,
+		"caller gave up by RST": nil,
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			g := targetgate.New()
+			g.Offer(offer(1), began)
+			g.FromCaller(keyOf(1), request(1), flow.Endpoint{}, began)
+			want := 1
+			switch {
+			case end != nil:
+				end(g)
+			case name == "answered":
+				g.FromTarget(keyOf(1), answer, began+ms)
+				want = 0
+			default:
+				g.FromCaller(keyOf(1), &flow.Packet{Reset: true}, flow.Endpoint{}, began+ms)
+				want = 0
+			}
+			require.Equal(t, want, g.TakeLost())
+			require.Zero(t, g.TakeLost())
+		})
+	}
+}
+
+// restart lets the target send back a flow that it held.
+func restart(g *targetgate.Gate, now time.Duration) {
+	g.Offer(offer(2), now-500*ms)
+	g.FromTarget(keyOf(2), answer, now-400*ms)
+	g.Returned(keyOf(2), now)
+}
+
+func TestFlowsAreListedByPhase(t *testing.T) {
+	g := targetgate.New()
+	taken := fill(g, time.Second)
+	g.FromTarget(keyOf(1), answer, time.Second+50*ms)
+	g.Offer(offer(500), time.Second+50*ms)
+	g.Offer(last(501, 0), time.Second+50*ms)
+	phases := map[int]targetgate.Phase{}
+	for _, f := range g.Flows(100, time.Second+80*ms) {
+		phases[int(f.Key.Caller.Port)] = f.Phase
+	}
+	require.Len(t, phases, taken+2)
+	require.Equal(t, targetgate.PhaseIdle, phases[1])
+	require.Equal(t, targetgate.PhaseWorking, phases[2])
+	require.Equal(t, targetgate.PhaseOpening, phases[500])
+	require.Equal(t, targetgate.PhaseWaiting, phases[501])
+	require.Len(t, g.Flows(3, time.Second), 3)
+}
