Do not count a confirmation during a search for that search

A model of the search (random losses, delays, old views, targets and balancers that come and go) and a look at its rule found this: a flow is reset once a search fails by a view that the store confirmed after the first miss. The rule compared the view at the end of the search. A view that was confirmed while the search was on its way counted, though the search had not asked the targets that the view named anew, so that an open flow could be reset while its target lives. The search now remembers when the view was confirmed by which it began.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: all build format check-format lint test unit race fuzz scenarios scenario known-red demo demo-packets soak bench capacity generate
+.PHONY: all build format check-format lint test unit race fuzz model scenarios scenario known-red demo demo-packets soak bench capacity generate
 
 all: build
 
@@ -39,6 +39,11 @@
 fuzz:
 	@$(GO) test -p $(GO_PARALLEL) -run '^Fuzz' ./...
 
+# model looks for sequences of events that break a promise, with other luck each time.
+MODEL_CHECKS ?= 60000
+model:
+	@$(GO) test ./dispatch -run '^TestModel' -count=1 -rapid.checks=$(MODEL_CHECKS) -rapid.steps=200
+
 # known-red prints the tests that are passed over.
 known-red:
 	@if [ -n "$(KNOWN_RED)" ]; then echo "passed over, see KNOWN-RED.txt:"; cat KNOWN-RED.txt; fi
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -406,3 +406,23 @@
 	forged.AckFlag = true
 	require.Equal(t, dispatch.OutcomeDrop, d.FromCaller(forged, seconds(1)).Outcome)
 }
+
+// A search that began before a view was confirmed says nothing of the targets that the view names anew.
+func TestConfirmationDuringASearchDoesNotCountForIt(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	f.target(2, domainA, directory.TargetReady) // holds the flow
+	p := data(1)
+	decision, _ := deliver(d, p, ip(2), seconds(1.1))
+	require.Equal(t, dispatch.CauseMissPending, decision.Cause)
+	second := d.FromCaller(p, seconds(1.2))
+	require.Equal(t, dispatch.OutcomeSearch, second.Outcome)
+	d.SetView(f.dir.View(), seconds(1.3), seconds(1.3))
+	ended, _ := walk(d, p, &second, ip(2), seconds(1.4), nil)
+	require.NotEqual(t, dispatch.OutcomeReset, ended.Outcome)
+	decision, _ = deliver(d, p, ip(2), seconds(1.5))
+	require.Equal(t, dispatch.OutcomeForward, decision.Outcome)
+	require.Equal(t, ip(2), decision.Target.Address.IP)
+}
--- a/dispatch/search.go
+++ b/dispatch/search.go
@@ -23,6 +23,7 @@
 type search struct {
 	running bool
 	at      time.Duration // of its start
+	known   time.Duration // when the store confirmed the view by which it began
 	round   uint8         // number of the search, by which late answers are told apart
 	tries   int           // searches since the last one that all targets answered
 	open    int           // paths that have not ended
@@ -37,7 +38,7 @@
 // startSearch sends a packet of an open flow to all targets that may hold it, along several paths.
 func (d *Dispatcher) startSearch(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
 	length := pathLengths[min(e.search.tries, len(pathLengths)-1)]
-	e.search = search{running: true, at: now, round: e.search.round + 1, tries: e.search.tries + 1}
+	e.search = search{running: true, at: now, known: d.known, round: e.search.round + 1, tries: e.search.tries + 1}
 	order := d.searchOrder(key, route)
 	paths := make([]SearchPath, 0, 1+len(order)/length)
 	for start := 0; start < len(order); {
@@ -108,15 +109,15 @@
 	return d.miss(key, e, p, now)
 }
 
-// miss ends a search that found nothing. The flow is reset once a whole search failed by a view that the store confirmed
-// after the first miss: a target that another balancer knew of already is found by then.
+// miss ends a search that found nothing. The flow is reset once a whole search failed that began by a view that the store
+// confirmed after the first miss: a target that another balancer knew of already is found by then.
 func (d *Dispatcher) miss(key flow.Key, e *entry, p *flow.Packet, now time.Duration) Decision {
 	first := e.missAt == 0
 	e.search.running, e.search.tries, e.target = false, 0, nil
 	if first {
 		e.missAt = now
 	}
-	if first || e.search.skipped || d.known <= e.missAt {
+	if first || e.search.skipped || e.search.known <= e.missAt {
 		return Decision{Outcome: OutcomeHold, Cause: CauseMissPending}
 	}
 	d.table.Delete(key)
