--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -66,13 +66,13 @@
 	return l.wait(ctx, w, now)
 }
 
-// hasSlot reports whether one more request may run now. While the last answer is too old to say how the target is now,
-// one request at a time asks it.
+// hasSlot reports whether one more request may run now. While the last answer is too old to say how the target is now, or
+// came so late that the target may have turned cold, one request at a time asks it.
 func (l *Limiter) hasSlot(now time.Time) bool {
 	if l.inProgress >= l.limit.current {
 		return false
 	}
-	return l.unanswered.Len() < coldLimit || l.limit.fresh(now)
+	return l.unanswered.Len() < coldLimit || (l.limit.fresh(now) && !l.limit.times.suspect)
 }
 
 // expectedService returns the time that new work needs at the target. An idle target is asked whatever its last service
--- a/admission/service.go
+++ b/admission/service.go
@@ -28,10 +28,12 @@
 	settlePeriod = 3 * time.Second
 	// fallTolerance is the share of the earlier service time below which the target still warms up.
 	fallTolerance = 0.95
-	// warmShare is the share of the first service time below which a target has become warm since then.
-	warmShare = 0.6
+	// warmShare is the share of the service time of its first settlePeriod below which a target has become warm.
+	warmShare = 0.5
 	// jumpFactor is the rise of a service time over the highest usual one that a warm target does not show.
 	jumpFactor = 2.5
+	// suspectFactor is such a rise that makes the limiter wait for the next answer.
+	suspectFactor = 2.0
 	// peakDecay lowers the highest usual service time per sample, so that one slow request does not hide a later jump.
 	peakDecay = 0.98
 	// jumpSamples bounds how far two jumps may be apart to be one event. A single one is a slow request.
@@ -43,13 +45,14 @@
 	window    []time.Duration
 	opened    time.Time     // first sample of the window
 	median    time.Duration // of the last full window, zero when unknown
-	first     time.Duration // the first median of all
+	first     []reading     // medians of the first settle period of all
 	reference time.Duration // what the median is when the target is well, drifting up
 	drifted   time.Time
 	frozen    time.Time // until then the reference does not drift up
 	lowered   time.Time
 	peak      time.Duration // highest usual service time, decaying
 	sinceJump int           // samples since the last jump
+	suspect   bool          // the last sample was far above the usual ones
 	history   []reading     // medians of the settle period, the oldest first
 }
 
@@ -61,6 +64,7 @@
 
 // add takes one service time. It reports whether service times jumped, and whether a window became full.
 func (s *serviceTimes) add(service time.Duration, now time.Time) (jumped, full bool) {
+	s.suspect = s.peak > 0 && float64(service) > suspectFactor*float64(s.peak)
 	jumped = s.addJump(service)
 	s.peak = max(time.Duration(float64(s.peak)*peakDecay), service)
 	if len(s.window) == 0 {
@@ -72,8 +76,8 @@
 	}
 	s.median = medianOf(s.window)
 	s.window = s.window[:0]
-	if s.first == 0 {
-		s.first = s.median
+	if len(s.first) == 0 || now.Sub(s.first[0].at) < settlePeriod {
+		s.first = append(s.first, reading{at: now, median: s.median})
 	}
 	s.adaptReference(now)
 	s.history = append(s.history, reading{at: now, median: s.median})
@@ -137,9 +141,10 @@
 	return meanOf(s.history[half:]) >= fallTolerance*meanOf(s.history[:half])
 }
 
-// hasWarmed reports whether the target has become much faster since it was seen first.
+// hasWarmed reports whether the target has become much faster since it was seen first. It compares means over the settle
+// period, since a single median is too noisy.
 func (s *serviceTimes) hasWarmed() bool {
-	return float64(s.median) <= warmShare*float64(s.first)
+	return len(s.first) > 0 && len(s.history) > 0 && meanOf(s.history) <= warmShare*meanOf(s.first)
 }
 
 // restart drops the observations of the time before a cut. The reference stays: it is what a warm target showed.
@@ -147,6 +152,7 @@
 	s.frozen = now.Add(freezePeriod)
 	s.window = s.window[:0]
 	s.history = s.history[:0]
+	s.suspect = false
 }
 
 func meanOf(readings []reading) float64 {
--- a/admission/simulation_test.go
+++ b/admission/simulation_test.go
@@ -292,3 +292,57 @@
 		})
 	}
 }
+
+// Pattern: a target is cold for 6 s and slower meanwhile by a constant factor, and its work differs much from request to
+// request. By chance the service time falls as it does when a target becomes warm; the target may not get more for that.
+func TestNoiseIsNotTakenForWarming(t *testing.T) {
+	const (
+		coldTime = 6 * time.Second
+		seeds    = 100
+	)
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &noisyTarget{coldUntil: time.Now().Add(coldTime), random: rand.New(rand.NewPCG(seed, 1))}
+			limiter := newAdaptive()
+			random := rand.New(rand.NewPCG(seed, 2))
+			var wg sync.WaitGroup
+			for end := time.Now().Add(coldTime); time.Now().Before(end); {
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(25*time.Millisecond)))
+				wg.Go(func() {
+					if done, ok := limiter.acquire(t.Context(), time.Now().Add(3*time.Second)); ok {
+						s.run()
+						done(admission.Completed)
+					}
+				})
+			}
+			wg.Wait()
+			require.Zero(t, s.overloads, "seed %d", seed)
+		})
+	}
+}
+
+// noisyTarget is cold until a time, and its work is distributed exponentially.
+type noisyTarget struct {
+	mu        sync.Mutex
+	coldUntil time.Time
+	random    *rand.Rand
+	running   int
+	overloads int
+}
+
+func (s *noisyTarget) run() {
+	s.mu.Lock()
+	s.running++
+	work := 0.2 + 0.8*s.random.ExpFloat64()
+	if time.Now().Before(s.coldUntil) {
+		work *= 1 + coldFactor
+		if s.running > coldSlots {
+			s.overloads++
+		}
+	}
+	s.mu.Unlock()
+	time.Sleep(time.Duration(work * float64(warmService)))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
