--- a/cmd/cowslip-l4/agent.go
+++ b/cmd/cowslip-l4/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/forward"
+	"github.com/cowslipward/cowslipward/internal/commandline"
 	"github.com/cowslipward/cowslipward/internal/logsink"
 	"github.com/cowslipward/cowslipward/settings"
 )
@@ -15,7 +16,7 @@
 func runAgent(file string, check bool) error {
 	s, err := settings.LoadPacketAgent(file)
 	if err != nil {
-		return fmt.Errorf("%w:\n%w", errSettings, err)
+		return fmt.Errorf("%w:\n%w", commandline.ErrSettings, err)
 	}
 	if check {
 		fmt.Println("settings are valid")
--- a/cmd/cowslip-l4/balancer.go
+++ b/cmd/cowslip-l4/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/forward"
+	"github.com/cowslipward/cowslipward/internal/commandline"
 	"github.com/cowslipward/cowslipward/internal/logsink"
 	"github.com/cowslipward/cowslipward/platform"
 	"github.com/cowslipward/cowslipward/settings"
@@ -24,7 +25,7 @@
 func runBalancer(file string, check bool) error {
 	s, err := settings.LoadPacketBalancer(file)
 	if err != nil {
-		return fmt.Errorf("%w:\n%w", errSettings, err)
+		return fmt.Errorf("%w:\n%w", commandline.ErrSettings, err)
 	}
 	if check {
 		fmt.Println("settings are valid")
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,71 +27,6 @@
 	freshLimit = time.Second
 )
 
-// Outcome is what happens to a packet.
-type Outcome uint8
-
-// Outcomes of a packet.
-const (
-	OutcomeDrop Outcome = iota
-	OutcomeForward
-	OutcomeReset
-	OutcomeSearch // sent along several paths
-	OutcomeHold   // decided about once more when the search or the confirmation ends
-)
-
-// String returns the outcome as logs show it.
-func (o Outcome) String() string {
-	switch o {
-	case OutcomeForward:
-		return "forward"
-	case OutcomeReset:
-		return "reset"
-	case OutcomeSearch:
-		return "search"
-	case OutcomeHold:
-		return "hold"
-	default:
-		return "drop"
-	}
-}
-
-// Cause says why a packet had its outcome.
-type Cause string
-
-// Causes.
-const (
-	CausePlaced        Cause = "placed"          // new flow, offered to a target
-	CauseRepeated      Cause = "repeated"        // copy of a SYN whose first target did not take it
-	CauseNext          Cause = "next_target"     // the target before refused the new flow
-	CauseWait          Cause = "wait"            // all targets are busy, the flow waits at one
-	CauseOpen          Cause = "open"            // open flow, by the table
-	CauseSearch        Cause = "search"          // open flow whose target is searched from now on
-	CauseSearching     Cause = "searching"       // open flow whose target is being searched
-	CauseNoRoute       Cause = "no_route"        // no configuration names the address
-	CauseNoView        Cause = "no_view"         // no configuration is known yet
-	CauseNoTarget      Cause = "no_target"       // the service has no target that may take new flows
-	CauseNoRoom        Cause = "no_room"         // no target has room now, the caller's next copy may find some
-	CauseOverload      Cause = "overload"        // no target has room for the last copy of a SYN
-	CauseUnknownFlow   Cause = "unknown_flow"    // no target holds the flow
-	CauseMissPending   Cause = "miss_unproved"   // no target holds the flow as far as an older view knows
-	CauseDomainOut     Cause = "domain_out"      // the flow lives in a failure domain that is out of service
-	CauseTooManyHops   Cause = "too_many_hops"   // the packet came back too often
-	CauseNotFromCaller Cause = "not_from_caller" // a reset or a returned packet that no caller sends
-	CauseStaleReturn   Cause = "stale_return"    // a return from a target that the flow has left
-	CauseCallerReset   Cause = "caller_reset"    // the caller ends a flow that no target holds
-)
-
-// Decision is the outcome of one packet and what led to it.
-type Decision struct {
-	Outcome Outcome
-	Cause   Cause
-	Target  *directory.Target // of OutcomeForward
-	Header  encap.Header      // of OutcomeForward
-	Paths   []SearchPath      // of OutcomeSearch
-	Service string
-	Seq     uint32 // of OutcomeReset: the number that the caller expects
-}
-
 // entry is what the table holds of a flow.
 type entry struct {
 	target  *directory.Target
@@ -195,66 +130,6 @@
 	return Decision{Cause: CauseNoRoute}
 }
 
-// place offers a new flow to a target. A copy of a SYN goes to another target than the first, unless the first waits
-// for a slot.
-func (d *Dispatcher) place(key flow.Key, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
-	e, held := d.table.Get(key, now)
-	if !held || !e.opening {
-		e = &entry{opening: true, service: route.Choose(key.Hash())}
-		d.table.Put(key, e, now)
-	}
-	cause := CausePlaced
-	if p.Copy > e.copies {
-		e.copies = p.Copy
-		cause = CauseRepeated
-	}
-	if e.waiting {
-		return d.offer(e, true, cause, p, now)
-	}
-	if e.target != nil {
-		e.tried = append(e.tried, placement.Mark(e.target))
-	}
-	return d.offerNext(key, e, cause, p, now)
-}
-
-// offerNext offers a new flow to the best target that did not refuse it yet. Where all did, it may wait at the one with
-// the least work.
-func (d *Dispatcher) offerNext(key flow.Key, e *entry, cause Cause, p *flow.Packet, now time.Duration) Decision {
-	var t *directory.Target
-	if len(e.tried) < maxOffers {
-		t = d.chooser.Choose(d.view, e.service, key.Hash(), e.tried, now)
-	}
-	if t != nil {
-		e.target = t
-		return d.offer(e, false, cause, p, now)
-	}
-	t = d.chooser.LeastBusy(d.view, e.service, key.Hash(), now)
-	if t == nil {
-		return d.refuse(key, e, CauseNoTarget, p, now)
-	}
-	e.target, e.waiting, e.tried = t, true, e.tried[:0]
-	return d.offer(e, true, CauseWait, p, now)
-}
-
-func (d *Dispatcher) offer(e *entry, last bool, cause Cause, p *flow.Packet, now time.Duration) Decision {
-	d.loads.Sent(e.target.Address.IP, true, now)
-	h := encap.Header{Last: last, Held: encap.Millis(p.Held)}
-	if route := d.view.Route(p.To); route != nil {
-		h.Priority = encap.Clamp8(route.Priority)
-		h.Aim = encap.Millis(route.Objective)
-	}
-	return d.forward(e, cause, h, now)
-}
-
-// refuse resets a flow that cannot be served, if the view is fresh enough to know.
-func (d *Dispatcher) refuse(key flow.Key, e *entry, cause Cause, p *flow.Packet, now time.Duration) Decision {
-	d.table.Delete(key)
-	if now-d.known > freshLimit {
-		return Decision{Cause: cause, Service: e.service}
-	}
-	return Decision{Outcome: OutcomeReset, Cause: cause, Service: e.service, Seq: p.Ack}
-}
-
 // forward returns the decision to send a packet to the target of its flow.
 func (d *Dispatcher) forward(e *entry, cause Cause, h encap.Header, now time.Duration) Decision {
 	h.Kind = encap.KindForward
@@ -359,31 +234,3 @@
 	e.target, e.service, e.missAt = t, t.Service, 0
 	e.search.running, e.search.tries = false, 0
 }
-
-// lastCopy is the number of the last copy of a SYN that a caller sends in one attempt.
-const lastCopy = 2
-
-// overloaded ends an offer that found no room to wait either. The caller's next copy may find some; after the last one
-// the flow is refused, so that the caller does not wait in vain.
-func (d *Dispatcher) overloaded(key flow.Key, e *entry, p *flow.Packet, now time.Duration) Decision {
-	if p.Copy >= lastCopy {
-		return d.refuse(key, e, CauseOverload, p, now)
-	}
-	e.waiting, e.target, e.tried = false, nil, nil
-	return Decision{Cause: CauseNoRoom}
-}
-
-// returnedSyn offers a refused flow to the next target.
-func (d *Dispatcher) returnedSyn(key flow.Key, e *entry, ip [4]byte, h *encap.Header, p *flow.Packet, now time.Duration) Decision {
-	if !e.opening || e.target == nil || e.target.Address.IP != ip || p.Copy < e.copies {
-		return Decision{Cause: CauseStaleReturn}
-	}
-	if e.waiting {
-		return d.overloaded(key, e, p, now)
-	}
-	if h.Reason == encap.ReasonBusy {
-		d.loads.Full(ip, now)
-	}
-	e.tried = append(e.tried, placement.Mark(e.target))
-	return d.offerNext(key, e, CauseNext, p, now)
-}
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -13,6 +13,7 @@
 
 	"github.com/cowslipward/cowslipward/feed"
 	"github.com/cowslipward/cowslipward/fleet"
+	"github.com/cowslipward/cowslipward/internal/commandline"
 	"github.com/cowslipward/cowslipward/internal/peer"
 	"github.com/cowslipward/cowslipward/keys"
 	"github.com/cowslipward/cowslipward/settings"
@@ -96,7 +97,7 @@
 // Fail stops the process after a failure that it cannot go on with.
 func (r *Runner) Fail(err error) {
 	r.log.Error("process_failed", "error", err)
-	_ = r.shutdowner.Shutdown(fx.ExitCode(exitFailed))
+	_ = r.shutdowner.Shutdown(fx.ExitCode(commandline.ExitFailed))
 }
 
 // Background runs a function from start to stop. Its failure ends the process.
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -4,24 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 
+	"github.com/cowslipward/cowslipward/internal/commandline"
 	"github.com/cowslipward/cowslipward/keys"
 	"github.com/cowslipward/cowslipward/settings"
 )
 
-// Exit codes of the daemons.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-// errSettings marks errors of settings, keys and usage.
-var errSettings = errors.New("bad settings")
-
 // Program describes a daemon for its command line.
 type Program struct {
 	Name  string
@@ -32,46 +23,20 @@
 
 // Main runs the program and exits: 0 done, 1 failed, 2 bad settings or usage.
 func (p Program) Main() {
-	err := p.command().Execute()
-	if err == nil {
-		return
-	}
-	fmt.Fprintln(os.Stderr, err)
-	if errors.Is(err, errSettings) {
-		os.Exit(exitUsage)
-	}
-	os.Exit(exitFailed)
-}
-
-func (p Program) command() *cobra.Command {
-	var file string
-	var check bool
-	command := &cobra.Command{
-		Use:           p.Name + " --settings FILE",
-		Short:         p.Short,
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE:          func(*cobra.Command, []string) error { return p.run(file, check) },
-	}
-	command.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments")
-	command.Flags().BoolVar(&check, "check", false, "validate the settings and the keys, then exit")
-	command.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Join(errSettings, err) })
-	return command
+	command := &cobra.Command{Use: p.Name + " --settings FILE", Short: p.Short}
+	commandline.TakeSettings(command, "", p.run)
+	commandline.Execute(command)
 }
 
 // run validates the settings, starts the daemon and waits for a signal to stop it.
 func (p Program) run(file string, check bool) error {
-	if file == "" {
-		return fmt.Errorf("%w: want --settings FILE", errSettings)
-	}
 	common, wire, err := p.Load(file)
 	if err != nil {
-		return fmt.Errorf("%w:\n%w", errSettings, err)
+		return fmt.Errorf("%w:\n%w", commandline.ErrSettings, err)
 	}
 	store, err := keys.Open(common.Keys.Dir)
 	if err != nil {
-		return fmt.Errorf("%w: keys.dir: %w", errSettings, err)
+		return fmt.Errorf("%w: keys.dir: %w", commandline.ErrSettings, err)
 	}
 	if check {
 		fmt.Println("settings and keys are valid")
