--- a/cmd/cowslip-load/soak.go
+++ b/cmd/cowslip-load/soak.go
@@ -27,16 +27,23 @@
 func soakCommand(f *flags) *cobra.Command {
 	var length time.Duration
 	var net uint8
+	var scale int
+	var report string
 	command := &cobra.Command{
 		Use:   "soak",
 		Short: "Run the packet path as real processes under random faults",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			return f.soak(c, func(r *soak.Run) { r.Length, r.Net = length, net })
+			return f.soak(c, func(r *soak.Run) {
+				r.Length, r.Net, r.Report = length, net, report
+				r.Scale(max(1, scale))
+			})
 		},
 	}
 	command.Flags().DurationVar(&length, "length", 20*time.Second, "how long faults are injected")
 	command.Flags().Uint8Var(&net, "net", 2, "second byte of the loopback addresses, for runs beside each other")
+	command.Flags().IntVar(&scale, "scale", 1, "how many times the usual deployment of 13 processes is started")
+	command.Flags().StringVar(&report, "report", "", "also write a page with charts to this file")
 	return command
 }
 
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -29,6 +29,7 @@
 	broken   atomic.Int64
 	report   func(format string, args ...any)
 	seconds  [maxSeconds]atomic.Int64 // requests served, by second of the run
+	failures [maxSeconds]atomic.Int64 // requests that got no answer or a reset, by second of the run
 	started  time.Time
 	ids      atomic.Int64
 }
@@ -87,6 +88,10 @@
 		return false
 	}
 	l.bed.Ledger.Done(id, err == nil)
+	second := min(int(time.Since(l.started).Seconds()), maxSeconds-1)
+	if err != nil {
+		l.failures[second].Add(1)
+	}
 	switch {
 	case err == nil && got != service:
 		l.report("VIOLATION wrong_service request %s for %s was answered by %s", id, service, got)
@@ -94,9 +99,7 @@
 	case errors.Is(err, platformtest.ErrReset):
 		l.judgeReset(f, id)
 	case err == nil:
-		if second := int(time.Since(l.started).Seconds()); second < maxSeconds {
-			l.seconds[second].Add(1)
-		}
+		l.seconds[second].Add(1)
 	}
 	return err == nil && !f.Closed()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -19,6 +19,7 @@
 	Length   time.Duration // of the faults
 	Planned  bool          // only what operators do: restarts, drains, changes, a failure domain out
 	Out      io.Writer
+	Report   string // file for a page with charts; empty: none
 }
 
 const (
@@ -50,13 +51,8 @@
 		return err
 	}
 	defer bed.Close()
-	var mu sync.Mutex
-	started := time.Now()
-	report := func(format string, args ...any) {
-		mu.Lock()
-		defer mu.Unlock()
-		_, _ = fmt.Fprintf(r.Out, "%6.2fs %s\n", time.Since(started).Seconds(), fmt.Sprintf(format, args...))
-	}
+	events := &eventLog{out: r.Out, started: time.Now()}
+	report := events.add
 	l, err := newLoad(bed, r.Services, report)
 	if err != nil {
 		return err
@@ -64,6 +60,8 @@
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	group.Go(func() { l.run(loadCtx, r.Callers) })
+	w := newWatcher(bed, l)
+	group.Go(func() { w.run(loadCtx) })
 	pause(ctx, steadyTime+time.Second)
 	f := &faults{bed: bed, load: l, services: r.Services, kinds: r.kinds(), random: rand.New(rand.NewPCG(r.Seed, 0)), report: report}
 	faultCtx, stopFaults := context.WithTimeout(ctx, r.Length)
@@ -74,7 +72,42 @@
 	pause(ctx, recoverTime+measureTime)
 	stopLoad()
 	group.Wait()
-	return r.judge(bed, l, faultsEnd)
+	result, err := r.judge(bed, l, faultsEnd)
+	events.write(result)
+	if r.Report != "" {
+		return errors.Join(err, w.write(r.Report, result, events.lines))
+	}
+	return err
+}
+
+// eventLog writes what happens and keeps it for the page.
+type eventLog struct {
+	mu      sync.Mutex
+	out     io.Writer
+	started time.Time
+	lines   []string
+}
+
+func (e *eventLog) add(format string, args ...any) {
+	e.write(fmt.Sprintf("%6.2fs %s", time.Since(e.started).Seconds(), fmt.Sprintf(format, args...)))
+}
+
+func (e *eventLog) write(line string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lines = append(e.lines, line)
+	_, _ = fmt.Fprintln(e.out, line)
+}
+
+// Scale multiplies the balancers, the targets and the callers.
+func (r *Run) Scale(factor int) {
+	r.Balancers *= factor
+	r.Callers *= factor
+	scaled := make(map[string]int)
+	for service, count := range r.Targets {
+		scaled[service] = count * factor
+	}
+	r.Targets = scaled
 }
 
 // kinds returns the faults of the run.
@@ -82,12 +115,12 @@
 	return slices.DeleteFunc(slices.Clone(kinds), func(k fault) bool { return r.Planned && !k.planned })
 }
 
-// judge prints the result and returns what was broken.
-func (r Run) judge(bed *Bed, l *load, faultsEnd time.Duration) error {
+// judge returns the result in one line and what was broken.
+func (r Run) judge(bed *Bed, l *load, faultsEnd time.Duration) (string, error) {
 	counts, violations := bed.Ledger.Snapshot()
 	before := l.rate(time.Second, steadyTime)
 	after := l.rate(faultsEnd+recoverTime, faultsEnd+recoverTime+measureTime)
-	_, _ = fmt.Fprintf(r.Out, "RESULT seed=%d ok=%d failed=%d broken_flows=%d wrong_service=%d duplicated=%d lost=%d altered=%d to_domain_out=%d rate_before=%.0f rate_after=%.0f\n",
+	result := fmt.Sprintf("RESULT seed=%d ok=%d failed=%d broken_flows=%d wrong_service=%d duplicated=%d lost=%d altered=%d to_domain_out=%d rate_before=%.0f rate_after=%.0f",
 		r.Seed, counts.OK, counts.Failed, l.broken.Load(), counts.WrongService, counts.Duplicated, counts.Lost, counts.Altered, counts.ToDomainOut, before, after)
 	var errs []error
 	for _, violation := range violations {
@@ -99,5 +132,5 @@
 	if before == 0 || after < recoveredShare*before {
 		errs = append(errs, fmt.Errorf("%.0f requests a second are served %s after the faults, %.0f before", after, recoverTime, before))
 	}
-	return errors.Join(errs...)
+	return result, errors.Join(errs...)
 }
