--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 # BenchmarkReply run a plain relay in turns with the data path.
 BENCH          ?= .
 BENCH_COUNT    ?= 1
-BENCH_PACKAGES ?= ./dispatch ./placement ./connid ./wire ./routing ./balancer ./tunnel
+BENCH_PACKAGES ?= ./forward ./dispatch ./placement ./connid ./wire ./routing ./balancer ./tunnel
 
 bench:
 	@$(GO) test -p 1 -run '^$$' -bench '$(BENCH)' -benchmem -count $(BENCH_COUNT) $(BENCH_PACKAGES)
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -59,6 +59,18 @@
 	CauseCallerReset   Cause = "caller_reset"    // the caller ends a flow that no target holds
 )
 
+// Causes are all causes.
+var Causes = []Cause{
+	CausePlaced, CauseRepeated, CauseNext, CauseWait, CauseOpen, CauseSearch, CauseSearching, CauseNoRoute, CauseNoView,
+	CauseNoTarget, CauseNoRoom, CauseOverload, CauseUnknownFlow, CauseMissPending, CauseDomainOut, CauseTooManyHops,
+	CauseNotFromCaller, CauseStaleReturn, CauseCallerReset,
+}
+
+// IsPending reports whether the decision may be another one once a view or the end of a search is known.
+func (c Cause) IsPending() bool {
+	return c == CauseNoView || c == CauseMissPending || c == CauseSearching
+}
+
 // Decision is the outcome of one packet and what led to it.
 type Decision struct {
 	Outcome Outcome
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"regexp"
 	"slices"
 	"testing"
 	"time"
@@ -426,3 +428,19 @@
 	require.Equal(t, dispatch.OutcomeForward, decision.Outcome)
 	require.Equal(t, ip(2), decision.Target.Address.IP)
 }
+
+// Counters are kept for the causes in this list only.
+func TestListOfCausesIsWhole(t *testing.T) {
+	source, err := os.ReadFile("decision.go")
+	require.NoError(t, err)
+	declared := regexp.MustCompile(`(?m)^\tCause\w+ +Cause = "(\w+)"`).FindAllStringSubmatch(string(source), -1)
+	var names []string
+	for _, match := range declared {
+		names = append(names, match[1])
+	}
+	var listed []string
+	for _, cause := range dispatch.Causes {
+		listed = append(listed, string(cause))
+	}
+	require.ElementsMatch(t, names, listed)
+}
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/dispatch"
@@ -57,8 +55,6 @@
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	held       heldPackets
-	counters   map[dispatch.Cause]*metrics.Counter
-	decide     *metrics.Histogram
 }
 
 // OpenBalancer binds the sockets.
@@ -78,8 +74,6 @@
 		tunnel:     tunnel,
 		clock:      newClock(),
 		dispatcher: dispatch.New(c.Domain, c.outWait()),
-		counters:   make(map[dispatch.Cause]*metrics.Counter),
-		decide:     metrics.GetOrCreateHistogram("cowslip_decision_seconds"),
 	}
 	b.heldOut = b.newOutboxes()
 	return b, nil
@@ -119,6 +113,9 @@
 
 // hold keeps a packet until the view allows a decision.
 func (b *Balancer) hold(d *dispatch.Decision, p *flow.Packet, packet []byte) {
+	if !d.Cause.IsPending() {
+		return
+	}
 	now := b.clock.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -189,7 +186,9 @@
 	b.mu.Unlock()
 	b.act(out, &d, &p, datagram)
 	b.hold(&d, &p, datagram)
-	b.decide.Update((b.clock.now() - started).Seconds())
+	if d.Cause != dispatch.CauseOpen {
+		decisionTime.Update((b.clock.now() - started).Seconds())
+	}
 }
 
 func (b *Balancer) fromAgent(out *outboxes, datagram []byte, from flow.Endpoint) {
@@ -258,23 +257,12 @@
 			b.config.Outcomes.Record(d.Service, false)
 		}
 	}
-	b.count(d.Cause)
+	decisions[d.Cause].Inc()
 	if d.Cause != dispatch.CauseOpen && d.Cause != dispatch.CauseSearching {
 		b.logDecision(d, p, key)
 	}
 }
 
-func (b *Balancer) count(cause dispatch.Cause) {
-	b.mu.Lock()
-	c := b.counters[cause]
-	if c == nil {
-		c = metrics.GetOrCreateCounter(fmt.Sprintf("cowslip_packets_total{cause=%q}", string(cause)))
-		b.counters[cause] = c
-	}
-	b.mu.Unlock()
-	c.Inc()
-}
-
 // logDecision writes one line for each decision that is not the plain forwarding of an open flow, as far as the sampler
 // allows.
 func (b *Balancer) logDecision(d *dispatch.Decision, p *flow.Packet, key flow.Key) {
@@ -294,8 +282,3 @@
 		"target", target, "service", d.Service, "copy", p.Copy, "attempt", d.Header.Attempt,
 		"paths", len(d.Paths), "revision", view.Revision, "view_age", b.clock.now()-known, "skipped", skipped)
 }
-
-var (
-	droppedUnreadable = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="unreadable_packet"}`)
-	droppedForeign    = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="foreign_header"}`)
-)
--- /dev/null
+++ b/forward/balancer_metrics.go
@@ -0,0 +1,25 @@
+package forward
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cowslipward/cowslipward/dispatch"
+)
+
+var (
+	decisions         = newDecisionCounters()
+	decisionTime      = metrics.NewHistogram("cowslip_decision_seconds")
+	droppedUnreadable = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="unreadable_packet"}`)
+	droppedForeign    = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="foreign_header"}`)
+)
+
+// newDecisionCounters returns a counter for each cause. The map does not change afterwards, so that it needs no lock.
+func newDecisionCounters() map[dispatch.Cause]*metrics.Counter {
+	counters := make(map[dispatch.Cause]*metrics.Counter, len(dispatch.Causes))
+	for _, cause := range dispatch.Causes {
+		counters[cause] = metrics.NewCounter(fmt.Sprintf("cowslip_packets_total{cause=%q}", string(cause)))
+	}
+	return counters
+}
