--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,7 @@
 # capacity measures the control plane's cost for each role, see docs/CAPACITY.md.
 capacity:
 	@mkdir -p $(BIN)
-	@$(GO) build -o $(BIN)/capacity ./internal/capacity
+	@$(GO) build -o $(BIN)/capacity ./test/capacity
 	@$(BIN)/capacity
 
 SCENARIO_PARALLEL ?= 4
@@ -71,12 +71,12 @@
 
 # scenarios runs the scripts of the scenarios directory against the built programs.
 scenarios: build
-	@COWSLIP_BIN=$(CURDIR)/$(BIN) $(GO) test ./internal/scenario -run TestScenarios $(SKIP) -count=1 -parallel $(SCENARIO_PARALLEL) \
+	@COWSLIP_BIN=$(CURDIR)/$(BIN) $(GO) test ./test/scenario -run TestScenarios $(SKIP) -count=1 -parallel $(SCENARIO_PARALLEL) \
 		-timeout $(SCENARIO_TIME)
 
 # scenario runs one script: make scenario NAME=balancer-dies
 scenario: build
-	@COWSLIP_BIN=$(CURDIR)/$(BIN) $(GO) test ./internal/scenario -run 'TestScenarios/^$(NAME)$$' -count=1 -v -timeout $(SCENARIO_TIME)
+	@COWSLIP_BIN=$(CURDIR)/$(BIN) $(GO) test ./test/scenario -run 'TestScenarios/^$(NAME)$$' -count=1 -v -timeout $(SCENARIO_TIME)
 
 # demo shows the deployment under change: DEPLOYMENT=guild make demo
 demo: build
--- a/cmd/cowslip-load/main.go
+++ b/cmd/cowslip-load/main.go
@@ -12,8 +12,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/cowslipward/cowslipward/internal/load"
-	"github.com/cowslipward/cowslipward/internal/testbed"
+	"github.com/cowslipward/cowslipward/test/load"
+	"github.com/cowslipward/cowslipward/test/testbed"
 )
 
 // demoLimit bounds the demo in time.
--- a/cmd/cowslip-load/soak.go
+++ b/cmd/cowslip-load/soak.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/cowslipward/cowslipward/internal/soak"
+	"github.com/cowslipward/cowslipward/test/soak"
 )
 
 // demoPacketsLength is how long the demo of the packet path makes changes.
--- a/cmd/cowslip-standin/main.go
+++ b/cmd/cowslip-standin/main.go
@@ -14,9 +14,9 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/cowslipward/cowslipward/internal/standin/fabric"
-	"github.com/cowslipward/cowslipward/internal/standin/platform"
-	"github.com/cowslipward/cowslipward/internal/standin/target"
+	"github.com/cowslipward/cowslipward/test/standin/fabric"
+	"github.com/cowslipward/cowslipward/test/standin/platform"
+	"github.com/cowslipward/cowslipward/test/standin/target"
 )
 
 // headerTimeout bounds how long a client may take to send its headers.
--- a/internal/chart/chart_test.go
+++ b/test/chart/chart_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/cowslipward/cowslipward/internal/chart"
+	"github.com/cowslipward/cowslipward/test/chart"
 )
 
 func TestPageHoldsAllChartsItself(t *testing.T) {
--- a/internal/load/demo.go
+++ b/test/load/demo.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"github.com/cowslipward/cowslipward/internal/testbed"
+	"github.com/cowslipward/cowslipward/test/testbed"
 )
 
 // Times of the demo. It ends within 60 s.
--- a/internal/load/experiment.go
+++ b/test/load/experiment.go
@@ -9,7 +9,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/cowslipward/cowslipward/internal/testbed"
+	"github.com/cowslipward/cowslipward/test/testbed"
 )
 
 // Experiment measures one aim of the design page on a test bed.
--- a/internal/load/verify.go
+++ b/test/load/verify.go
@@ -5,7 +5,7 @@
 	"sort"
 	"strings"
 
-	"github.com/cowslipward/cowslipward/internal/standin/target"
+	"github.com/cowslipward/cowslipward/test/standin/target"
 )
 
 // Source gives the runs and the counters that each target recorded.
--- a/internal/load/workload.go
+++ b/test/load/workload.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cowslipward/cowslipward/internal/standin/target"
+	"github.com/cowslipward/cowslipward/test/standin/target"
 )
 
 // Mix describes the load on one service.
--- a/internal/scenario/engine.go
+++ b/test/scenario/engine.go
@@ -13,8 +13,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/cowslipward/cowslipward/internal/load"
-	"github.com/cowslipward/cowslipward/internal/testbed"
+	"github.com/cowslipward/cowslipward/test/load"
+	"github.com/cowslipward/cowslipward/test/testbed"
 )
 
 // PermanentFaults names the environment variable that makes healing commands do nothing. A scenario that heals a fault
--- a/internal/scenario/expect.go
+++ b/test/scenario/expect.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/cowslipward/cowslipward/internal/load"
+	"github.com/cowslipward/cowslipward/test/load"
 )
 
 // pollPeriod is how often a condition with a time limit is checked.
--- a/internal/scenario/fault.go
+++ b/test/scenario/fault.go
@@ -8,9 +8,9 @@
 	"syscall"
 	"time"
 
-	"github.com/cowslipward/cowslipward/internal/standin/fabric"
-	"github.com/cowslipward/cowslipward/internal/standin/platform"
-	"github.com/cowslipward/cowslipward/internal/standin/target"
+	"github.com/cowslipward/cowslipward/test/standin/fabric"
+	"github.com/cowslipward/cowslipward/test/standin/platform"
+	"github.com/cowslipward/cowslipward/test/standin/target"
 )
 
 // publish changes the rules: publish drain VM, undrain VM, out DOMAIN, in DOMAIN, touch WORD or broken.
--- a/internal/scenario/monitor.go
+++ b/test/scenario/monitor.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cowslipward/cowslipward/internal/testbed"
+	"github.com/cowslipward/cowslipward/test/testbed"
 )
 
 // monitorPeriod is how often the revision of each process is read.
--- a/internal/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -8,7 +8,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/stretchr/testify/require"
 
-	"github.com/cowslipward/cowslipward/internal/scenario"
+	"github.com/cowslipward/cowslipward/test/scenario"
 )
 
 // Runs the scripts of the scenarios directory against the programs of the bin directory. "make scenarios" builds them
--- a/internal/soak/bed.go
+++ b/test/soak/bed.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"github.com/cowslipward/cowslipward/flow"
-	"github.com/cowslipward/cowslipward/internal/child"
 	"github.com/cowslipward/cowslipward/platform/platformtest"
+	"github.com/cowslipward/cowslipward/test/child"
 )
 
 // Ports of the processes. Each VM has a loopback address of its own.
--- a/internal/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/cowslipward/cowslipward/internal/soak"
+	"github.com/cowslipward/cowslipward/test/soak"
 )
 
 // build builds the daemon.
--- a/internal/soak/watch.go
+++ b/test/soak/watch.go
@@ -8,8 +8,8 @@
 	"os"
 	"time"
 
-	"github.com/cowslipward/cowslipward/internal/chart"
 	"github.com/cowslipward/cowslipward/packetstatus"
+	"github.com/cowslipward/cowslipward/test/chart"
 )
 
 const (
--- a/internal/standin/fabric/fabric_test.go
+++ b/test/standin/fabric/fabric_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/cowslipward/cowslipward/internal/standin/fabric"
+	"github.com/cowslipward/cowslipward/test/standin/fabric"
 )
 
 func freeUDP(t *testing.T, ip string) netip.AddrPort {
--- a/internal/standin/platform/platform_test.go
+++ b/test/standin/platform/platform_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/cowslipward/cowslipward/internal/standin/platform"
+	"github.com/cowslipward/cowslipward/test/standin/platform"
 )
 
 func send(t *testing.T, method, url, body string) (string, error) {
--- a/internal/standin/target/target_test.go
+++ b/test/standin/target/target_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/cowslipward/cowslipward/internal/standin/target"
+	"github.com/cowslipward/cowslipward/test/standin/target"
 )
 
 // Guards against a stand-in that hides an overload in a cold start, a repeated run or a request for another service.
--- a/internal/testbed/bed.go
+++ b/test/testbed/bed.go
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
-	"github.com/cowslipward/cowslipward/internal/child"
+	"github.com/cowslipward/cowslipward/test/child"
 
-	"github.com/cowslipward/cowslipward/internal/standin/fabric"
 	"github.com/cowslipward/cowslipward/keys"
+	"github.com/cowslipward/cowslipward/test/standin/fabric"
 )
 
 const (
--- a/internal/testbed/command.go
+++ b/test/testbed/command.go
@@ -13,9 +13,9 @@
 	"syscall"
 	"time"
 
-	"github.com/cowslipward/cowslipward/internal/standin/fabric"
-	"github.com/cowslipward/cowslipward/internal/standin/platform"
-	"github.com/cowslipward/cowslipward/internal/standin/target"
+	"github.com/cowslipward/cowslipward/test/standin/fabric"
+	"github.com/cowslipward/cowslipward/test/standin/platform"
+	"github.com/cowslipward/cowslipward/test/standin/target"
 )
 
 // get reads JSON; into may be nil.
--- a/internal/testbed/vm.go
+++ b/test/testbed/vm.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
-	"github.com/cowslipward/cowslipward/internal/child"
+	"github.com/cowslipward/cowslipward/test/child"
 
-	"github.com/cowslipward/cowslipward/internal/standin/fabric"
-	"github.com/cowslipward/cowslipward/internal/standin/platform"
+	"github.com/cowslipward/cowslipward/test/standin/fabric"
+	"github.com/cowslipward/cowslipward/test/standin/platform"
 )
 
 // VM is a machine of the test bed with its processes.
