Soak: a source of chance for each fault; a test of guarded connections waits for what HTTP/2 writes late

TestSoak: faults that overlap shared one source of random numbers (data race); each has its own. TestGuardStopsBothEnds: 115 bytes were counted after the view grew old. No byte may follow, as before.

--- a/internal/peer/guard_test.go
+++ b/internal/peer/guard_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -52,6 +53,7 @@
 				return err
 			}
 			require.NoError(t, get())
+			counted.awaitQuiet(t)
 			closed.Store(true)
 			read, written := counted.read.Load(), counted.written.Load()
 			require.Error(t, get())
@@ -70,6 +72,19 @@
 	read, written atomic.Int64
 }
 
+// awaitQuiet waits until HTTP/2 has written what follows an exchange, such as acknowledgements of settings. A write that
+// was allowed before the view grew old may otherwise be counted after it.
+func (l *countedListener) awaitQuiet(t *testing.T) {
+	const quiet = 100 * time.Millisecond
+	last, since := int64(-1), time.Now()
+	require.Eventually(t, func() bool {
+		if now := l.read.Load() + l.written.Load(); now != last {
+			last, since = now, time.Now()
+		}
+		return time.Since(since) >= quiet
+	}, 5*time.Second, quiet/20)
+}
+
 func (l *countedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	return &countedConn{Conn: conn, listener: l}, err
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -26,10 +26,17 @@
 type fault struct {
 	name    string
 	planned bool
-	run     func(f *faults, v *vm, last time.Duration)
+	run     func(f *faults, i injection)
 	role    string // of the VM; empty: none
 }
 
+// injection is one occurrence of a fault. Faults overlap, so that each has a source of chance of its own.
+type injection struct {
+	vm     *vm // nil where the fault concerns none
+	last   time.Duration
+	random *rand.Rand
+}
+
 var kinds = []fault{
 	{"kill", false, (*faults).kill, "balancer"},
 	{"kill", false, (*faults).kill, "agent"},
@@ -91,11 +98,12 @@
 		f.busy.Store(v, true)
 	}
 	f.report("fault %s%s for %s", kind.name, where, last)
+	one := injection{vm: v, last: last, random: rand.New(rand.NewPCG(f.random.Uint64(), 0))}
 	f.group.Go(func() {
 		if !kind.planned {
 			f.load.noteFault(time.Now().Add(last + calmAfter))
 		}
-		kind.run(f, v, last)
+		kind.run(f, one)
 		if !kind.planned {
 			f.load.noteFault(time.Now())
 		}
@@ -105,24 +113,24 @@
 	})
 }
 
-func (f *faults) kill(v *vm, last time.Duration) {
-	f.bed.signal(v, syscall.SIGKILL)
-	<-v.process.Exited()
-	time.Sleep(last)
-	f.startAgain(v)
+func (f *faults) kill(i injection) {
+	f.bed.signal(i.vm, syscall.SIGKILL)
+	<-i.vm.process.Exited()
+	time.Sleep(i.last)
+	f.startAgain(i.vm)
 }
 
-func (f *faults) restart(v *vm, _ time.Duration) {
-	f.bed.signal(v, syscall.SIGTERM)
+func (f *faults) restart(i injection) {
+	f.bed.signal(i.vm, syscall.SIGTERM)
 	select {
-	case <-v.process.Exited():
+	case <-i.vm.process.Exited():
 	case <-time.After(graceLimit):
-		f.report("VIOLATION %s did not stop within %s", v.name, graceLimit)
-		f.bed.Ledger.Violate(v.name + " did not stop in time")
-		f.bed.signal(v, syscall.SIGKILL)
-		<-v.process.Exited()
+		f.report("VIOLATION %s did not stop within %s", i.vm.name, graceLimit)
+		f.bed.Ledger.Violate(i.vm.name + " did not stop in time")
+		f.bed.signal(i.vm, syscall.SIGKILL)
+		<-i.vm.process.Exited()
 	}
-	f.startAgain(v)
+	f.startAgain(i.vm)
 }
 
 // graceLimit is how long a process may take to stop.
@@ -135,21 +143,21 @@
 	}
 }
 
-func (f *faults) pause(v *vm, last time.Duration) {
-	f.bed.signal(v, syscall.SIGSTOP)
-	time.Sleep(last)
-	f.bed.signal(v, syscall.SIGCONT)
+func (f *faults) pause(i injection) {
+	f.bed.signal(i.vm, syscall.SIGSTOP)
+	time.Sleep(i.last)
+	f.bed.signal(i.vm, syscall.SIGCONT)
 }
 
-func (f *faults) reload(v *vm, _ time.Duration) { f.bed.signal(v, syscall.SIGHUP) }
+func (f *faults) reload(i injection) { f.bed.signal(i.vm, syscall.SIGHUP) }
 
-func (f *faults) crashTarget(v *vm, last time.Duration) {
+func (f *faults) crashTarget(i injection) {
 	f.bed.mu.Lock()
-	target, id := v.target, v.targetID()
+	target, id := i.vm.target, i.vm.targetID()
 	f.bed.mu.Unlock()
 	target.Close()
-	time.Sleep(last)
-	f.replace(v, id)
+	time.Sleep(i.last)
+	f.replace(i.vm, id)
 }
 
 // replace starts a new target and removes the entry of the one before.
@@ -165,50 +173,50 @@
 }
 
 // drainTarget lets a target leave as planned: its flows go on for the time that the platform gives it.
-func (f *faults) drainTarget(v *vm, _ time.Duration) {
+func (f *faults) drainTarget(i injection) {
 	f.bed.mu.Lock()
-	target, id := v.target, v.targetID()
+	target, id := i.vm.target, i.vm.targetID()
 	f.bed.mu.Unlock()
-	f.bed.Store.PutTarget(id, target.Entry(v.entryAddress(), "draining"))
+	f.bed.Store.PutTarget(id, target.Entry(i.vm.entryAddress(), "draining"))
 	target.Drain()
 	time.Sleep(drainTime)
 	target.Close()
-	f.replace(v, id)
+	f.replace(i.vm, id)
 }
 
 const drainTime = 3 * time.Second
 
-func (f *faults) harmStore(v *vm, last time.Duration) {
-	v.store.set(mode(1 + f.random.IntN(int(modeCount)-1)))
-	time.Sleep(last)
-	v.store.set(modePass)
+func (f *faults) harmStore(i injection) {
+	i.vm.store.set(mode(1 + i.random.IntN(int(modeCount)-1)))
+	time.Sleep(i.last)
+	i.vm.store.set(modePass)
 }
 
 // harmMesh harms what passes between an agent and each balancer, or about half of them.
-func (f *faults) harmMesh(v *vm, last time.Duration) {
-	harm := harms[f.random.IntN(len(harms))]
-	all := f.random.IntN(2) == 0
+func (f *faults) harmMesh(i injection) {
+	harm := harms[i.random.IntN(len(harms))]
+	all := i.random.IntN(2) == 0
 	var peers []netip.Addr
 	for _, peer := range f.bed.vms {
-		if peer.role == "balancer" && (all || f.random.IntN(2) == 0) {
+		if peer.role == "balancer" && (all || i.random.IntN(2) == 0) {
 			peers = append(peers, peer.ip)
 		}
 	}
-	f.report("  %s between %s and %d balancers", harm.name, v.name, len(peers))
-	f.bed.mesh.set(v.ip, peers, harm)
-	time.Sleep(last)
-	f.bed.mesh.set(v.ip, peers, noHarm)
+	f.report("  %s between %s and %d balancers", harm.name, i.vm.name, len(peers))
+	f.bed.mesh.set(i.vm.ip, peers, harm)
+	time.Sleep(i.last)
+	f.bed.mesh.set(i.vm.ip, peers, noHarm)
 }
 
-func (f *faults) refuseStore(_ *vm, last time.Duration) {
+func (f *faults) refuseStore(i injection) {
 	f.bed.Store.SetRefuse(func(*http.Request) int { return http.StatusServiceUnavailable })
-	time.Sleep(last)
+	time.Sleep(i.last)
 	f.bed.Store.SetRefuse(nil)
 }
 
-func (f *faults) forgetHistory(*vm, time.Duration) { f.bed.Store.Forget() }
+func (f *faults) forgetHistory(i injection) { f.bed.Store.Forget() }
 
-func (f *faults) changeConfig(*vm, time.Duration) {
+func (f *faults) changeConfig(i injection) {
 	f.bed.mu.Lock()
 	defer f.bed.mu.Unlock()
 	f.bed.publishConfig(f.services)
@@ -216,12 +224,12 @@
 
 // takeOut takes a failure domain out for some seconds. New flows must stay away within the bound while nothing else
 // keeps the news from the balancers.
-func (f *faults) takeOut(*vm, time.Duration) {
+func (f *faults) takeOut(i injection) {
 	if _, busy := f.busy.LoadOrStore("out", true); busy {
 		return
 	}
 	defer f.busy.Delete("out")
-	domain := f.bed.Domains[f.random.IntN(len(f.bed.Domains))]
+	domain := f.bed.Domains[i.random.IntN(len(f.bed.Domains))]
 	f.bed.Store.SetOut(domain, true)
 	f.setOut(domain, time.Now())
 	time.Sleep(outTime)
