--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"container/heap"
 	"container/list"
 	"context"
 	"sync"
@@ -35,14 +34,6 @@
 	return c
 }
 
-// Permit is the right to run one request at the target. Done must be called once.
-type Permit struct {
-	limiter *Limiter
-	started time.Time
-	element *list.Element // in unanswered, nil once answered
-	done    bool
-}
-
 // Acquire waits for a slot. It returns a *Refusal when the work must not run. A zero deadline means none.
 func (l *Limiter) Acquire(ctx context.Context, deadline time.Time) (*Permit, error) {
 	l.mu.Lock()
@@ -101,154 +92,6 @@
 	return permit
 }
 
-// enqueue adds a waiter. A full queue drops the work that would be served last.
-func (l *Limiter) enqueue(deadline, now time.Time) (*waiter, *Refusal) {
-	if l.config.Queue <= 0 {
-		return nil, &Refusal{Reason: ReasonQueueFull}
-	}
-	l.sequence++
-	w := &waiter{deadline: deadline, sequence: l.sequence, index: -1, grant: make(chan grant, 1)}
-	if refusal := l.checkDeadline(deadline, now, l.expectedNeed(w)); refusal != nil {
-		return nil, refusal
-	}
-	if len(l.waiting) >= queuedPerSlot*l.config.Slots {
-		last := l.waiting.last()
-		if !w.before(last) {
-			return nil, &Refusal{Reason: ReasonQueueFull}
-		}
-		l.waiting.remove(last)
-		last.grant <- grant{refusal: &Refusal{Reason: ReasonQueueFull}}
-	}
-	heap.Push(&l.waiting, w)
-	return w, nil
-}
-
-// expectedNeed estimates the wait and the service time of a new waiter.
-func (l *Limiter) expectedNeed(w *waiter) time.Duration {
-	service := l.expectedService()
-	rounds := l.waiting.ahead(w) / l.limit.current
-	return service * time.Duration(rounds+1)
-}
-
-// wait blocks until w is granted, the queue time passes or the context ends.
-func (l *Limiter) wait(ctx context.Context, w *waiter, since time.Time) (*Permit, error) {
-	longest := l.queueTime()
-	reason := ReasonQueueTime
-	if left := w.deadline.Sub(since); !w.deadline.IsZero() && left < longest {
-		longest = left
-		reason = ReasonDeadline
-	}
-	timer := time.NewTimer(longest)
-	defer timer.Stop()
-	select {
-	case g := <-w.grant:
-		return g.unpack()
-	case <-timer.C:
-	case <-ctx.Done():
-		reason = ReasonCanceled
-	}
-	return l.leave(w, reason)
-}
-
-func (l *Limiter) queueTime() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.config.Queue
-}
-
-// leave takes w out of the queue. When a permit was granted at the same moment, it wins.
-func (l *Limiter) leave(w *waiter, reason Reason) (*Permit, error) {
-	l.mu.Lock()
-	queued := l.waiting.remove(w)
-	l.mu.Unlock()
-	if queued {
-		return nil, &Refusal{Reason: reason}
-	}
-	g := <-w.grant
-	if g.permit != nil && reason == ReasonCanceled {
-		g.permit.Done(Canceled)
-		return nil, &Refusal{Reason: reason}
-	}
-	return g.unpack()
-}
-
-func (g grant) unpack() (*Permit, error) {
-	if g.refusal != nil {
-		return nil, g.refusal
-	}
-	return g.permit, nil
-}
-
-// dispatch grants free slots to the waiters with the earliest deadlines. The caller holds the lock.
-func (l *Limiter) dispatch(now time.Time) {
-	for len(l.waiting) > 0 && l.hasSlot(now) {
-		w := heap.Pop(&l.waiting).(*waiter)
-		if refusal := l.checkDeadline(w.deadline, now, l.expectedService()); refusal != nil {
-			w.grant <- grant{refusal: refusal}
-			continue
-		}
-		w.grant <- grant{permit: l.admit(now)}
-	}
-}
-
-// Answered notes that the target's response header arrived. The time until then is the service time: a long view or
-// download keeps its slot, but its length says nothing about the load of the target.
-func (p *Permit) Answered() {
-	l := p.limiter
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.noteAnswer(p, time.Now())
-	l.dispatch(time.Now())
-}
-
-// noteAnswer records the service time of a permit once.
-func (l *Limiter) noteAnswer(p *Permit, now time.Time) {
-	if p.element == nil {
-		return
-	}
-	l.unanswered.Remove(p.element)
-	p.element = nil
-	l.limit.observe(now.Sub(p.started), now)
-}
-
-// Done returns the slot. The result is evidence about the target.
-func (p *Permit) Done(result Result) {
-	l := p.limiter
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if p.done {
-		return
-	}
-	p.done = true
-	now := time.Now()
-	running := l.inProgress
-	l.inProgress--
-	l.judge(p, result, running, now)
-	l.noteAges(now)
-	l.dispatch(now)
-}
-
-// judge adjusts the limit to the result of one request.
-func (l *Limiter) judge(p *Permit, result Result, running int, now time.Time) {
-	switch result {
-	case Completed:
-		l.noteAnswer(p, now)
-	case Refused:
-		l.limit.refused(running, p.started, now)
-	case Reset:
-		l.limit.turnCold(whyReset, now)
-	case TimedOut:
-		if p.element != nil {
-			l.limit.turnCold(whyTimeout, now)
-		}
-	case Canceled:
-	}
-	if p.element != nil {
-		l.unanswered.Remove(p.element)
-		p.element = nil
-	}
-}
-
 // agedRequests is how many requests must wait unusually long to be evidence. One alone is a slow request.
 const agedRequests = 2
 
--- a/ticket/issuer.go
+++ b/ticket/issuer.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"context"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -51,26 +50,6 @@
 	ErrMisused = &Error{Reason: "ticket was used for another request"}
 )
 
-// Answer is what the target answered to a request that ran under a ticket.
-type Answer struct {
-	Status int
-	Header http.Header
-	Body   []byte
-	// Partial says that the body was not kept whole; a retry gets ErrForgotten.
-	Partial bool
-}
-
-// size is the cost of a stored answer in bytes.
-func (a *Answer) size() int {
-	n := len(a.Body)
-	for key, values := range a.Header {
-		for _, value := range values {
-			n += len(key) + len(value)
-		}
-	}
-	return n
-}
-
 // Config says who issues.
 type Config struct {
 	Control  netip.AddrPort   // advertised control address of this agent
@@ -267,53 +246,3 @@
 	defer i.mu.Unlock()
 	return Stats{Remembered: len(i.records), Answers: i.answered.Len(), Bytes: i.bytes}
 }
-
-// Run is the one execution of a request under a ticket. End it with Finish, or with Abandon before dispatch.
-type Run struct {
-	issuer *Issuer
-	record *record
-}
-
-// Finish stores the answer and hands it to those who wait. An answer of unknown outcome is stored too: the ticket is
-// used up once a byte went to the target.
-func (r *Run) Finish(answer Answer) {
-	i, rec := r.issuer, r.record
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if rec.finished || rec.abandoned {
-		return
-	}
-	rec.finished = true
-	i.store(rec, &answer)
-	close(rec.done)
-}
-
-// store keeps the answer within the bounds. A record that was dropped meanwhile keeps none.
-func (i *Issuer) store(r *record, answer *Answer) {
-	size := answer.size()
-	if answer.Partial || size > MaxAnswerBytes || size > i.config.Bytes || i.records[r.sequence] != r {
-		return
-	}
-	r.answer = answer
-	r.inStored = i.answered.PushBack(r)
-	i.bytes += size
-	for i.bytes > i.config.Bytes || i.answered.Len() > i.config.Answers {
-		i.unstore(i.answered.Front().Value.(*record))
-	}
-}
-
-// Abandon gives the ticket back unused. Call it only when no byte of the request went to the target.
-func (r *Run) Abandon() {
-	i, rec := r.issuer, r.record
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if rec.finished || rec.abandoned {
-		return
-	}
-	rec.abandoned = true
-	close(rec.done)
-	if i.records[rec.sequence] == rec {
-		delete(i.records, rec.sequence)
-		i.used.Remove(rec.inUsed)
-	}
-}
