Tell peers of entries that lapse while the store is away

Ruled out: lost datagrams (peers did fetch and advance), agents (those on the path passed the packet on at once). A lapse now has the revision of its removal, reaches peers as a lapse with its entry, and is a removal after its time. TestLapseReachesPeers fails before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -93,7 +93,7 @@
 )
 
 // Record is one record of the store in the product's types. Exactly one of Config and Target is set where the kind has
-// a body. A record that cannot be read has Unreadable set and stands for no target and no configuration.
+// a body; a lapse that a peer tells has the entry that lapsed. A record that cannot be read has Unreadable set and stands for no target and no configuration.
 type Record struct {
 	Kind       Kind
 	Name       string // ID of the target, failure domain, or empty
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -186,3 +186,31 @@
 	none := directory.Route{}
 	require.Empty(t, none.Choose(1))
 }
+
+// A lapse reaches peers as one, also those that never held the entry, and ends there too. Peers that advance past its
+// revision without it would keep the entry for good.
+func TestLapseReachesPeers(t *testing.T) {
+	reader, peer, newcomer := directory.New(), directory.New(), directory.New()
+	apply(reader, time.Second, added("i-1", 1, 1), added("i-2", 2, 2))
+	apply(peer, time.Second, added("i-1", 1, 1), added("i-2", 2, 2))
+	apply(reader, 10*time.Second, directory.Record{Kind: directory.KindTarget, Name: "i-1", Revision: 3, Removed: true, Lapse: true})
+	reader.Advance(3)
+	apply(peer, 11*time.Second, reader.Since(2, 11*time.Second)...)
+	apply(newcomer, 11*time.Second, reader.Since(0, 11*time.Second)...)
+	for _, d := range []*directory.Directory{peer, newcomer} {
+		d.Advance(3)
+		held := d.View().TargetOn([4]byte{10, 0, 0, 1})
+		require.NotNil(t, held, "its open flows can still be found")
+		require.NotZero(t, held.Lapsed)
+		require.Empty(t, d.DropLapsed(12*time.Second))
+		require.Equal(t, []string{"i-1"}, d.DropLapsed(13*time.Second))
+		require.Len(t, d.View().Targets("bench"), 1)
+	}
+	require.Equal(t, []string{"i-1"}, reader.DropLapsed(13*time.Second))
+	late := directory.New()
+	apply(late, 14*time.Second, added("i-1", 1, 1))
+	apply(late, 14*time.Second, reader.Since(1, 14*time.Second)...)
+	require.Nil(t, late.View().TargetOn([4]byte{10, 0, 0, 1}), "after its time a lapse is a removal")
+	apply(peer, 14*time.Second, added("i-1", 1, 4))
+	require.NotNil(t, peer.View().TargetOn([4]byte{10, 0, 0, 1}), "a later entry counts")
+}
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -128,26 +128,42 @@
 	if r.Revision <= d.revs[key] {
 		return false
 	}
-	held := d.targets[r.Name]
-	if r.Removed && r.Lapse && held != nil {
-		if held.Lapsed != 0 {
-			return false
-		}
-		lapsed := *held
-		lapsed.Lapsed = now
-		d.targets[r.Name], d.dirty = &lapsed, true
-		return true
-	}
 	d.revs[key] = r.Revision
-	if r.Target == nil { // removed or unreadable
+	held := d.targets[r.Name]
+	switch {
+	case r.Removed && r.Lapse:
+		return d.lapse(r, now)
+	case r.Removed || r.Target == nil: // removed or unreadable
 		delete(d.targets, r.Name)
 		d.dirty = d.dirty || held != nil
 		return held != nil
+	default:
+		d.hold(r.Target, now)
+		return true
 	}
-	target := *r.Target
+}
+
+// hold takes over an entry.
+func (d *Directory) hold(t *Target, now time.Duration) {
+	target := *t
 	target.Seed = xxhash.Sum64String(target.ID)
 	target.Seen, target.Lapsed = now, 0
-	d.targets[r.Name], d.dirty = &target, true
+	d.targets[t.ID], d.dirty = &target, true
+}
+
+// lapse keeps an entry for a while that was removed while the store was away. A peer's record of it holds the entry too,
+// for a process that does not.
+func (d *Directory) lapse(r *Record, now time.Duration) bool {
+	if d.targets[r.Name] == nil && r.Target != nil {
+		d.hold(r.Target, now)
+	}
+	held := d.targets[r.Name]
+	if held == nil || held.Lapsed != 0 {
+		return false
+	}
+	lapsed := *held
+	lapsed.Lapsed = now
+	d.targets[r.Name], d.dirty = &lapsed, true
 	return true
 }
 
@@ -244,7 +260,8 @@
 	}
 	copied := *held
 	copied.ColdLeft = max(0, held.ColdUntil()-now)
-	return Record{Kind: KindTarget, Name: id, Revision: revision, Target: &copied}
+	lapsed := held.Lapsed != 0
+	return Record{Kind: KindTarget, Name: id, Revision: revision, Removed: lapsed, Lapse: lapsed, Target: &copied}
 }
 
 func cloneLists(m map[string][]string) map[string][]string {
