Search past targets that do not answer without the caller's help

An entry whose VM is gone stands for some heartbeats in any case. A search ended at it, the next one began with the caller's next packet, and routers that hash by mod gave that to another balancer, which began anew with long paths: three balancers in 3 s. Targets that are known not to answer now have paths of their own, and a balancer repeats a search that did not end within 190 ms by itself, at most twice, with shorter paths. TestFlowIsFoundPastTargetsThatDoNotAnswer (seven balancers in turn, five of six targets gone) fails before after 4 s; TestTargetsKnownToBeSilentAreSearchedAlone fails before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -17,8 +17,8 @@
 	tableEntries = 200_000
 	// tableIdle is how long an entry stays without a packet, at least. Losing it costs one search.
 	tableIdle = 20 * time.Second
-	// searchLimit is how long a search waits for answers before the next packet of the flow begins another.
-	searchLimit = 180 * time.Millisecond
+	// SearchLimit is how long a search waits for answers before the next packet of the flow begins another.
+	SearchLimit = 180 * time.Millisecond
 	// maxOffers bounds the targets to which a new flow is offered before it waits or is refused.
 	maxOffers = 8
 	// maxAttempts bounds how often one packet may come back, whatever the processes believe.
@@ -48,6 +48,7 @@
 	known   time.Duration // steady time at which the store confirmed the view
 	outAt   map[string]time.Duration
 	search  []*directory.Target // scratch
+	silent  []*directory.Target // scratch
 	outWait time.Duration
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -444,3 +444,29 @@
 	}
 	require.ElementsMatch(t, names, listed)
 }
+
+// A target that is known not to answer keeps no packet from those behind it, not even in the first search of a flow.
+func TestTargetsKnownToBeSilentAreSearchedAlone(t *testing.T) {
+	f := newFleet(t)
+	for n := 1; n <= 6; n++ {
+		f.target(n, domainA, directory.TargetReady)
+	}
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	for n := 1; n <= 3; n++ {
+		d.Reported(ip(n), &encap.Header{Silent: true}, seconds(1))
+	}
+	decision := d.FromCaller(data(1), seconds(1.1))
+	require.Equal(t, dispatch.OutcomeSearch, decision.Outcome)
+	alone := map[[4]byte]bool{}
+	for _, path := range decision.Paths {
+		h := path.Header
+		if _, more := h.Path.Next(); !more {
+			alone[path.First.Address.IP] = true
+		}
+	}
+	require.Len(t, decision.Paths, 4, "one path over those that answer")
+	for n := 1; n <= 3; n++ {
+		require.True(t, alone[ip(n)])
+	}
+}
--- a/dispatch/search.go
+++ b/dispatch/search.go
@@ -32,25 +32,26 @@
 
 // isRunning reports whether answers of the search may still come.
 func (s *search) isRunning(now time.Duration) bool {
-	return s.running && now-s.at < searchLimit
+	return s.running && now-s.at < SearchLimit
 }
 
 // startSearch sends a packet of an open flow to all targets that may hold it, along several paths.
 func (d *Dispatcher) startSearch(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
 	length := pathLengths[min(e.search.tries, len(pathLengths)-1)]
 	e.search = search{running: true, at: now, known: d.known, round: e.search.round + 1, tries: e.search.tries + 1}
-	order := d.searchOrder(key, route)
-	paths := make([]SearchPath, 0, 1+len(order)/length)
+	order, alone := d.apart(d.searchOrder(key, route), now)
+	paths := make([]SearchPath, 0, 1+len(order)/length+len(alone))
 	for start := 0; start < len(order); {
 		end := start
 		for end < len(order) && end-start < length && order[end].Service == order[start].Service {
 			end++
 		}
-		if path, ok := d.newPath(e, order[start:end], now); ok {
-			paths = append(paths, path)
-		}
+		paths = d.appendPath(paths, e, order[start:end], now)
 		start = end
 	}
+	for i := range alone {
+		paths = d.appendPath(paths, e, alone[i:i+1], now)
+	}
 	e.search.open = len(paths)
 	if e.search.open == 0 {
 		return d.miss(key, e, p, now)
@@ -58,6 +59,28 @@
 	return Decision{Outcome: OutcomeSearch, Cause: CauseSearch, Paths: paths}
 }
 
+// apart splits the targets that are known not to answer from the others. On a path they would keep it from those behind.
+func (d *Dispatcher) apart(targets []*directory.Target, now time.Duration) (answering, silent []*directory.Target) {
+	d.silent = d.silent[:0]
+	answering = targets[:0]
+	for _, t := range targets {
+		if d.loads.Silent(t.Address.IP, now) {
+			d.silent = append(d.silent, t)
+		} else {
+			answering = append(answering, t)
+		}
+	}
+	return answering, d.silent
+}
+
+// appendPath adds the path over the targets, unless none of them may be asked.
+func (d *Dispatcher) appendPath(paths []SearchPath, e *entry, targets []*directory.Target, now time.Duration) []SearchPath {
+	if path, ok := d.newPath(e, targets, now); ok {
+		return append(paths, path)
+	}
+	return paths
+}
+
 // newPath returns a path over targets of one service, without those in domains that get no packet any more. It reports
 // false where none is left.
 func (d *Dispatcher) newPath(e *entry, targets []*directory.Target, now time.Duration) (path SearchPath, ok bool) {
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -55,6 +55,7 @@
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	held       heldPackets
+	searched   searchedPackets
 }
 
 // OpenBalancer binds the sockets.
@@ -108,11 +109,15 @@
 	d := b.dispatcher.FromCaller(&p, b.clock.now())
 	b.mu.Unlock()
 	b.act(out, &d, &p, packet)
-	b.hold(&d, &p, packet)
+	b.hold(&d, &p, packet, searchRepeats)
 }
 
-// hold keeps a packet until the view allows a decision.
-func (b *Balancer) hold(d *dispatch.Decision, p *flow.Packet, packet []byte) {
+// hold keeps a packet until the view allows a decision or a search ends. A search that does not may be repeated so often.
+func (b *Balancer) hold(d *dispatch.Decision, p *flow.Packet, packet []byte, repeats int) {
+	if d.Outcome == dispatch.OutcomeSearch {
+		b.keepSearched(p.FromCaller(), packet, repeats)
+		return
+	}
 	if !d.Cause.IsPending() {
 		return
 	}
@@ -185,7 +190,7 @@
 	d := b.dispatcher.FromCaller(&p, started)
 	b.mu.Unlock()
 	b.act(out, &d, &p, datagram)
-	b.hold(&d, &p, datagram)
+	b.hold(&d, &p, datagram, searchRepeats)
 	if d.Cause != dispatch.CauseOpen {
 		decisionTime.Update((b.clock.now() - started).Seconds())
 	}
@@ -219,6 +224,7 @@
 func (b *Balancer) found(out *outboxes, h *encap.Header, p *flow.Packet, from flow.Endpoint) {
 	b.mu.Lock()
 	b.dispatcher.Found(from.IP, h, p, b.clock.now())
+	b.searched.forget(p.FromCaller())
 	held := b.held.ofFlow(p.FromCaller())
 	b.mu.Unlock()
 	for _, packet := range held {
@@ -235,7 +241,7 @@
 		b.config.Log.Debug("packet_returned", "flow", p.FromCaller(), "from", from.IP, "reason", h.Reason, "attempt", h.Attempt)
 	}
 	b.act(out, &d, p, packet)
-	b.hold(&d, p, packet)
+	b.hold(&d, p, packet, searchRepeats)
 }
 
 // act carries a decision out, counts and logs it.
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -296,3 +296,31 @@
 	require.EqualValues(t, 5, counts.Good)
 	require.EqualValues(t, 1, counts.Bad, "the flow that was refused")
 }
+
+// Pattern: targets are gone without a word while routers hand each packet of a caller to another balancer, which knows
+// nothing of the flow. Each balancer finds the flow by itself, past the targets that do not answer.
+func TestFlowIsFoundPastTargetsThatDoNotAnswer(t *testing.T) {
+	const balancers = 7
+	b := newBed(t, balancers, 1)
+	var flows []*platformtest.Flow
+	for n := range 8 {
+		f := b.open()
+		require.NoError(t, b.request(f, fmt.Sprintf("before-%d", n)))
+		flows = append(flows, f)
+	}
+	for n := 1; n <= 5; n++ {
+		b.setTarget(n, directory.TargetReady) // nothing runs there
+	}
+	b.publish()
+	for n, f := range flows {
+		packets := 0
+		b.setPick(func(flow.Key) int {
+			packets++
+			return min(packets, balancers-1)
+		})
+		started := time.Now()
+		require.NoError(t, b.request(f, fmt.Sprintf("after-%d", n)))
+		require.Less(t, time.Since(started), 900*time.Millisecond, "flow %d", n)
+	}
+	b.requireClean()
+}
--- /dev/null
+++ b/forward/search_again.go
@@ -0,0 +1,101 @@
+package forward
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/cowslipward/cowslipward/dispatch"
+	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/platform"
+)
+
+const (
+	// searchAgainAfter is how long a search may stay without an end before its packet is searched anew. It is above the
+	// time in which answers count.
+	searchAgainAfter = dispatch.SearchLimit + 10*time.Millisecond
+	// searchRepeats is how often a balancer searches a packet anew by itself. The last search asks each target alone.
+	searchRepeats = 2
+	// maxSearched bounds the packets that are kept for it.
+	maxSearched = 1024
+)
+
+// searchedPacket is a packet whose flow is searched.
+type searchedPacket struct {
+	packet []byte
+	at     time.Duration // of the search
+	left   int           // searches that may follow
+}
+
+// searchedPackets keeps the packets of searches that have not ended. A target on the path of a search may not answer; its
+// caller repeats the packet, but routers may hand that to another balancer, which begins anew.
+type searchedPackets struct {
+	flows map[flow.Key]searchedPacket
+	armed bool // the timer runs
+}
+
+func (s *searchedPackets) keep(key flow.Key, packet []byte, left int, now time.Duration) {
+	if s.flows == nil {
+		s.flows = make(map[flow.Key]searchedPacket)
+	}
+	if left > 0 && len(s.flows) < maxSearched {
+		s.flows[key] = searchedPacket{packet: bytes.Clone(packet), at: now, left: left}
+	}
+}
+
+func (s *searchedPackets) forget(key flow.Key) { delete(s.flows, key) }
+
+// due takes the packets whose searches did not end.
+func (s *searchedPackets) due(now time.Duration) []searchedPacket {
+	var list []searchedPacket
+	for key, searched := range s.flows {
+		if now-searched.at >= searchAgainAfter {
+			list = append(list, searched)
+			delete(s.flows, key)
+		}
+	}
+	return list
+}
+
+// keepSearched keeps a packet whose search begins.
+func (b *Balancer) keepSearched(key flow.Key, packet []byte, left int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.searched.keep(key, packet, left, b.clock.now())
+	b.armSearchTimer()
+}
+
+// armSearchTimer has the searches looked at, while there are any. The caller holds the lock.
+func (b *Balancer) armSearchTimer() {
+	if b.searched.armed || len(b.searched.flows) == 0 {
+		return
+	}
+	b.searched.armed = true
+	time.AfterFunc(searchAgainAfter/2, b.searchAgain)
+}
+
+// searchAgain searches the packets anew whose searches did not end.
+func (b *Balancer) searchAgain() {
+	b.mu.Lock()
+	list := b.searched.due(b.clock.now())
+	b.searched.armed = false
+	b.armSearchTimer()
+	b.mu.Unlock()
+	b.heldMu.Lock()
+	defer b.heldMu.Unlock()
+	for _, searched := range list {
+		b.searchOneAgain(searched)
+	}
+	b.heldOut.flush()
+}
+
+func (b *Balancer) searchOneAgain(searched searchedPacket) {
+	p, err := platform.DecodePacket(searched.packet)
+	if err != nil {
+		return // it was readable when it was kept
+	}
+	b.mu.Lock()
+	d := b.dispatcher.FromCaller(&p, b.clock.now())
+	b.mu.Unlock()
+	b.act(b.heldOut, &d, &p, searched.packet)
+	b.hold(&d, &p, searched.packet, searched.left-1)
+}
--- a/viewsync/log.go
+++ b/viewsync/log.go
@@ -15,6 +15,8 @@
 		log.Info("config_in_force", "version", r.Config.Version, "routes", len(r.Config.Routes), "revision", r.Revision)
 	case r.Kind == directory.KindOut:
 		log.Info("failure_domain", "domain", r.Name, "out", !r.Removed, "revision", r.Revision)
+	case r.Lapse:
+		log.Info("target_lapses", "target", r.Name, "revision", r.Revision)
 	case r.Removed:
 		log.Info("target_removed", "target", r.Name, "revision", r.Revision)
 	case r.Target != nil:
