Do not repeat a search that has ended

Cause: a packet was only forgotten when its flow was found. TestSearchThatEndedIsNotRepeated fails before.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -71,6 +71,11 @@
 	return c == CauseNoView || c == CauseMissPending || c == CauseSearching
 }
 
+// EndsSearch reports whether all targets that were asked have answered that they do not hold the flow.
+func (c Cause) EndsSearch() bool {
+	return c == CauseMissPending || c == CauseUnknownFlow || c == CauseCallerReset
+}
+
 // Decision is the outcome of one packet and what led to it.
 type Decision struct {
 	Outcome Outcome
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -118,12 +118,15 @@
 		b.keepSearched(p.FromCaller(), packet, repeats)
 		return
 	}
-	if !d.Cause.IsPending() {
+	if !d.Cause.IsPending() && !d.Cause.EndsSearch() {
 		return
 	}
 	now := b.clock.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if d.Cause.EndsSearch() {
+		b.searched.forget(p.FromCaller())
+	}
 	switch d.Cause {
 	case dispatch.CauseNoView:
 		b.held.untilView(p.FromCaller(), packet, now)
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/dispatch"
 	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/forward"
 	"github.com/cowslipward/cowslipward/internal/logsink"
@@ -324,3 +325,18 @@
 	}
 	b.requireClean()
 }
+
+// A search that ended is not repeated: a flow that no target holds costs its two searches and one reset.
+func TestSearchThatEndedIsNotRepeated(t *testing.T) {
+	b := newBed(t, 1, 1)
+	f := b.open()
+	require.NoError(t, b.request(f, "before"))
+	b.targets[0].Close()
+	b.startTarget(0)
+	b.publish()
+	require.ErrorIs(t, b.request(f, "after"), platformtest.ErrReset)
+	searches := forward.Decisions(dispatch.CauseSearch)
+	time.Sleep(500 * time.Millisecond)
+	require.Equal(t, searches, forward.Decisions(dispatch.CauseSearch))
+	b.requireClean()
+}
