--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -163,6 +163,9 @@
 
 // Close ends Run.
 func (b *Balancer) Close() {
+	b.mu.Lock()
+	b.searched = searchedPackets{armed: true} // no timer starts any more
+	b.mu.Unlock()
 	_ = b.packets.Close()
 	_ = b.tunnel.Close()
 }
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -328,6 +328,7 @@
 
 // A search that ended is not repeated: a flow that no target holds costs its two searches and one reset.
 func TestSearchThatEndedIsNotRepeated(t *testing.T) {
+	time.Sleep(500 * time.Millisecond) // searches of earlier tests end
 	b := newBed(t, 1, 1)
 	f := b.open()
 	require.NoError(t, b.request(f, "before"))
--- a/forward/search_again.go
+++ b/forward/search_again.go
@@ -30,7 +30,7 @@
 // caller repeats the packet, but routers may hand that to another balancer, which begins anew.
 type searchedPackets struct {
 	flows map[flow.Key]searchedPacket
-	armed bool // the timer runs
+	armed bool // the timer runs, or the balancer is closed
 }
 
 func (s *searchedPackets) keep(key flow.Key, packet []byte, left int, now time.Duration) {
