Bring peers what their reader does not know to be removed

A model of the view (three processes that watch, read all or hear from each other, removals that count as lapses or not) found, after 55 sequences, that an entry can stay at a peer for good: a process that starts, or reads all of the store since its history is gone, knows what holds but not what was removed before. Its updates and its answers to fetches named only changes that it knew, and the peer advanced past the removal. The same model then found a removal that an older record of a peer undid, after 63 and 1,435 sequences. Each directory now keeps the revision up to which it lacks removals. Updates begin there; who is behind fetches all that holds and removes the rest; records from before it are old. Before: TestModelOfTheView fails after 55 sequences, TestReaderThatStartedAfterARemoval fails.

--- a/directory/merge.go
+++ b/directory/merge.go
@@ -15,6 +15,7 @@
 // use; the views that it yields are.
 type Directory struct {
 	revision  uint64
+	floor     uint64 // removals of entries that it never held may be unknown up to this revision
 	config    *Config
 	configRev uint64
 	targets   map[string]*Target
@@ -57,6 +58,15 @@
 	}
 }
 
+// Floor returns the revision after which all changes are known. Up to it, only what still holds is.
+func (d *Directory) Floor() uint64 { return d.floor }
+
+// AdvanceWhole is Advance after records that hold all of the store as of the revision.
+func (d *Directory) AdvanceWhole(revision uint64) {
+	d.Advance(revision)
+	d.floor = max(d.floor, revision)
+}
+
 // Apply merges one record and reports whether it changed anything. An older record than the one held is ignored.
 func (d *Directory) Apply(r *Record, now time.Duration) bool {
 	switch r.Kind {
@@ -125,7 +135,7 @@
 
 func (d *Directory) applyTarget(r *Record, now time.Duration) bool {
 	key := targetKey + r.Name
-	if r.Revision <= d.revs[key] {
+	if d.isOld(key, r) {
 		return false
 	}
 	d.revs[key] = r.Revision
@@ -143,6 +153,15 @@
 	}
 }
 
+// isOld reports whether the record says less than what is known: a later record, or a whole copy of the store. A lapse
+// comes after such a copy, since the store no longer holds the entry.
+func (d *Directory) isOld(key string, r *Record) bool {
+	if r.Lapse {
+		return r.Revision <= d.revs[key]
+	}
+	return r.Revision <= max(d.revs[key], d.floor)
+}
+
 // hold takes over an entry.
 func (d *Directory) hold(t *Target, now time.Duration) {
 	target := *t
@@ -169,7 +188,7 @@
 
 func (d *Directory) applyOut(r *Record) bool {
 	key := outKey + r.Name
-	if r.Revision <= d.revs[key] {
+	if d.isOld(key, r) {
 		return false
 	}
 	d.revs[key] = r.Revision
@@ -187,7 +206,9 @@
 func (d *Directory) Missing(records []Record, revision uint64) []Record {
 	present := make(map[string]bool, len(records))
 	for i := range records {
-		present[recordKey(records[i].Kind, records[i].Name)] = true
+		if r := &records[i]; !r.Removed || r.Lapse {
+			present[recordKey(r.Kind, r.Name)] = true
+		}
 	}
 	return d.missing(present, revision)
 }
@@ -234,7 +255,8 @@
 	return gone
 }
 
-// Since returns what changed after a revision and still holds, removals included, as of now.
+// Since returns what changed after a revision and still holds, removals included, as of now. Below the floor some removals
+// are missing: what it returns from there is all that holds.
 func (d *Directory) Since(revision uint64, now time.Duration) []Record {
 	var all []Record
 	if d.config != nil && d.configRev > revision {
--- /dev/null
+++ b/directory/model_test.go
@@ -0,0 +1,143 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipward/cowslipward/directory"
+)
+
+// storeModel is the platform's store: its newest record of each entry, and all of its records in order.
+type storeModel struct {
+	revision uint64
+	events   []directory.Record
+	present  map[string]bool
+}
+
+func (s *storeModel) write(n int, removed bool) {
+	r := added(fmt.Sprintf("i-%d", n), byte(n), s.revision+1)
+	if removed {
+		r = directory.Record{Kind: directory.KindTarget, Name: r.Name, Revision: r.Revision, Removed: true}
+	}
+	s.revision++
+	s.present[r.Name] = !removed
+	s.events = append(s.events, r)
+}
+
+// after returns the records after a revision, as a watch does.
+func (s *storeModel) after(revision uint64) []directory.Record {
+	var list []directory.Record
+	for _, r := range s.events {
+		if r.Revision > revision {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// whole returns the newest record of each entry, as a read of all does.
+func (s *storeModel) whole() []directory.Record {
+	newest := make(map[string]directory.Record)
+	for _, r := range s.events {
+		newest[r.Name] = r
+	}
+	var list []directory.Record
+	for name, r := range newest {
+		if s.present[name] {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func (s *storeModel) ids() []string {
+	var ids []string
+	for name, present := range s.present {
+		if present {
+			ids = append(ids, name)
+		}
+	}
+	return ids
+}
+
+// process is one balancer's directory.
+type process struct{ *directory.Directory }
+
+// take merges records that reach up to a revision. While the store is just back, removals are lapses.
+func (p process) take(records []directory.Record, revision uint64, lapses bool, now time.Duration) {
+	for i := range records {
+		records[i].Lapse = records[i].Lapse || (lapses && records[i].Removed)
+		p.Apply(&records[i], now)
+	}
+	p.Advance(revision)
+	p.DropLapsed(now)
+}
+
+// takeWhole merges a copy of all that holds as of a revision.
+func (p process) takeWhole(records []directory.Record, revision uint64, lapses bool, now time.Duration) {
+	p.take(append(records, p.Missing(records, revision)...), revision, lapses, now)
+	p.AdvanceWhole(revision)
+}
+
+// push brings a peer what changed after a revision that it knows at least, or all where the process does not know that.
+func (p process) push(to process, base uint64, now time.Duration) {
+	switch {
+	case to.Revision() < p.Floor():
+		to.takeWhole(p.Since(0, now), p.Revision(), false, now)
+	case base <= to.Revision():
+		to.take(p.Since(max(base, p.Floor()), now), p.Revision(), false, now)
+	}
+}
+
+func (p process) ids() []string {
+	var ids []string
+	for _, t := range p.View().Targets("bench") {
+		ids = append(ids, t.ID)
+	}
+	return ids
+}
+
+// Whoever reads the store, in whatever way and however late, and whatever counts as a lapse: once one process has read
+// all, its updates are through and lapses have ended, all processes know exactly the entries of the store.
+func TestModelOfTheView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const entries, processes = 4, 3
+		now := time.Second
+		store := &storeModel{present: make(map[string]bool)}
+		var all [processes]process
+		for i := range all {
+			all[i] = process{directory.New()}
+		}
+		any := func(name string) process { return all[rapid.IntRange(0, processes-1).Draw(t, name)] }
+		t.Repeat(map[string]func(*rapid.T){
+			"entry is written": func(t *rapid.T) { store.write(rapid.IntRange(1, entries).Draw(t, "entry"), false) },
+			"entry is removed": func(t *rapid.T) { store.write(rapid.IntRange(1, entries).Draw(t, "entry"), true) },
+			"time passes":      func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond },
+			"watch": func(t *rapid.T) {
+				p := any("process")
+				p.take(store.after(p.Revision()), store.revision, rapid.Bool().Draw(t, "lapses"), now)
+			},
+			"read of all": func(t *rapid.T) {
+				any("process").takeWhole(store.whole(), store.revision, rapid.Bool().Draw(t, "lapses"), now)
+			},
+			"push": func(t *rapid.T) {
+				from := any("from")
+				from.push(any("to"), uint64(rapid.IntRange(0, int(from.Revision())).Draw(t, "base")), now)
+			},
+		})
+		reader := all[0]
+		reader.take(store.after(reader.Revision()), store.revision, false, now)
+		for _, p := range all[1:] {
+			reader.push(p, p.Revision(), now)
+		}
+		now += 3 * time.Second
+		for _, p := range all {
+			p.DropLapsed(now)
+			require.ElementsMatch(t, store.ids(), p.ids())
+		}
+	})
+}
--- a/viewsync/peers.go
+++ b/viewsync/peers.go
@@ -42,6 +42,7 @@
 
 // bundle is the answer to a fetch.
 type bundle struct {
+	Whole    bool // Records holds all that holds; else all changes after the revision that was asked for
 	Revision uint64
 	Age      int64 // milliseconds
 	Records  []directory.Record
@@ -188,7 +189,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.merge(b.Records, b.Revision, asked-time.Duration(b.Age)*time.Millisecond)
+	known := asked - time.Duration(b.Age)*time.Millisecond
+	if s.known != 0 {
+		s.noteReturn(s.known, asked)
+	}
+	if b.Whole {
+		s.mergeWhole(b.Records, b.Revision, known)
+	} else {
+		s.merge(b.Records, b.Revision, known)
+	}
 	return s.directory.View().Config != nil
 }
 
@@ -234,7 +243,7 @@
 		}
 		s.mu.Lock()
 		now := s.config.Now()
-		b := bundle{Revision: s.directory.Revision(), Age: (now - s.known).Milliseconds(), Records: s.directory.Since(after, now)}
+		b := s.bundle(after, now)
 		s.mu.Unlock()
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(&b); err != nil {
@@ -244,6 +253,16 @@
 	return mux
 }
 
+// bundle returns what changed after a revision, or all where some of it is not known.
+func (s *Syncer) bundle(after uint64, now time.Duration) bundle {
+	b := bundle{Whole: after < s.directory.Floor(), Revision: s.directory.Revision(), Age: (now - s.known).Milliseconds()}
+	if b.Whole {
+		after = 0
+	}
+	b.Records = s.directory.Since(after, now)
+	return b
+}
+
 // newClient returns the client of fetches.
 func newClient(local netip.Addr) *http.Client {
 	dialer := &net.Dialer{Timeout: fetchTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
--- a/viewsync/read.go
+++ b/viewsync/read.go
@@ -132,8 +132,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	records := append(answer.Records, s.directory.Missing(answer.Records, answer.Revision)...)
-	s.noteAnswer(records, answer.Revision, asked)
+	s.noteAnswer(answer.Revision)
+	s.mergeWhole(answer.Records, answer.Revision, asked)
 	return nil
 }
 
@@ -151,25 +151,32 @@
 	if elapsed := s.config.Now() - asked; len(answer.Records) == 0 && answer.Foreign == 0 && elapsed >= wait {
 		asked += wait
 	}
-	s.noteAnswer(answer.Records, answer.Revision, asked)
+	s.noteAnswer(answer.Revision)
+	if s.config.Now() < s.graceTill {
+		markLapses(answer.Records)
+	}
+	s.merge(answer.Records, answer.Revision, asked)
 	return nil
 }
 
-// noteAnswer takes over an answer of the store. The caller holds the lock.
-func (s *Syncer) noteAnswer(records []directory.Record, revision uint64, known time.Duration) {
+// noteAnswer notes that the store answered. The caller holds the lock.
+func (s *Syncer) noteAnswer(revision uint64) {
 	now := s.config.Now()
-	if s.readAt != 0 && now-max(s.readAt, s.known) > awayLimit {
-		s.graceTill = now + returnGrace
+	if s.readAt != 0 {
+		s.noteReturn(max(s.readAt, s.known), now)
 	}
 	if s.failing {
 		s.failing = false
 		s.config.Log.Info("store_regained", "away", now-s.readAt, "revision", revision)
 	}
 	s.readAt = now
-	if now < s.graceTill {
-		markLapses(records)
+}
+
+// noteReturn gives entries time to come back where the store has been away since the last news of it.
+func (s *Syncer) noteReturn(last, now time.Duration) {
+	if now-last > awayLimit {
+		s.graceTill = now + returnGrace
 	}
-	s.merge(records, revision, known)
 }
 
 // markLapses notes that entries which are missing may come back, since the store was away.
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -124,15 +124,39 @@
 	return s.config.Now() - s.known
 }
 
-// merge applies records, logs what they change and publishes the view. The caller holds the lock.
+// merge applies records that hold all changes up to a revision, logs what they change and publishes the view. The caller
+// holds the lock.
 func (s *Syncer) merge(records []directory.Record, revision uint64, known time.Duration) {
+	s.apply(records)
+	s.directory.Advance(revision)
+	s.publish(revision, known)
+}
+
+// mergeWhole is merge for records that hold all of the store as of a revision: what they lack has been removed, or lapsed
+// where the store was away.
+func (s *Syncer) mergeWhole(records []directory.Record, revision uint64, known time.Duration) {
+	gone := s.directory.Missing(records, revision)
+	if s.config.Now() < s.graceTill {
+		markLapses(gone)
+	}
+	s.apply(records)
+	s.apply(gone)
+	s.directory.AdvanceWhole(revision)
+	s.publish(revision, known)
+}
+
+func (s *Syncer) apply(records []directory.Record) {
 	now := s.config.Now()
 	for i := range records {
 		if s.directory.Apply(&records[i], now) {
 			logRecord(s.config.Log, &records[i])
 		}
 	}
-	s.directory.Advance(revision)
+}
+
+// publish publishes the view that was confirmed at the steady time known.
+func (s *Syncer) publish(revision uint64, known time.Duration) {
+	now := s.config.Now()
 	for _, id := range s.directory.DropLapsed(now) {
 		s.config.Log.Info("target_lapsed", "target", id)
 	}
@@ -154,9 +178,9 @@
 // base returns the revision after which updates repeat what changed. The caller holds the lock.
 func (s *Syncer) base() uint64 {
 	if len(s.recent) == 0 {
-		return 0
+		return s.directory.Floor()
 	}
-	return s.recent[0].revision
+	return max(s.recent[0].revision, s.directory.Floor())
 }
 
 func (s *Syncer) notify() {
--- a/viewsync/viewsync_test.go
+++ b/viewsync/viewsync_test.go
@@ -322,3 +322,28 @@
 		n.mu.Unlock()
 	}
 }
+
+// A reader that started after a removal never held the entry. Its updates must not let a peer that missed the removal
+// keep it for good.
+func TestReaderThatStartedAfterARemoval(t *testing.T) {
+	s := newStore(t)
+	putConfig(s, 1)
+	putTarget(s, 1)
+	putTarget(s, 2)
+	old := startNode(t, s, 2)
+	require.Eventually(t, func() bool { return old.targets() == 2 }, eventually, 10*time.Millisecond)
+	s.SetRefuse(func(r *http.Request) int {
+		host, _, _ := net.SplitHostPort(r.RemoteAddr)
+		if host == old.self.Addr().String() {
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	})
+	time.Sleep(time.Second)
+	s.RemoveTarget("i-1")
+	fresh := startNode(t, s, 1, old.self)
+	require.Eventually(t, func() bool { return fresh.targets() == 1 }, eventually, 10*time.Millisecond)
+	putConfig(s, 2)
+	requireVersion(t, 2, old, fresh)
+	require.Eventually(t, func() bool { return old.targets() == 1 }, eventually, 10*time.Millisecond)
+}
