Bound the repeats of searches to 20 a second and balancer

Cause: after the loss of all power thousands of searches do not end at once; each repeat asks up to 51 targets, and the links of small balancers (10 Mbit/s) have no room left. What is not repeated is counted.

--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/dispatch"
@@ -51,6 +53,7 @@
 
 	heldMu  sync.Mutex // guards heldOut; mu may be taken while it is held
 	heldOut *outboxes  // for packets that were held
+	repeats *rate.Limiter
 
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
@@ -74,6 +77,7 @@
 		packets:    packets,
 		tunnel:     tunnel,
 		clock:      newClock(),
+		repeats:    rate.NewLimiter(repeatsPerSecond, repeatsPerSecond),
 		dispatcher: dispatch.New(c.Domain, c.outWait()),
 	}
 	b.heldOut = b.newOutboxes()
--- a/forward/balancer_metrics.go
+++ b/forward/balancer_metrics.go
@@ -11,6 +11,7 @@
 var (
 	decisions         = newDecisionCounters()
 	decisionTime      = metrics.NewHistogram("cowslip_decision_seconds")
+	searchesGivenUp   = metrics.NewCounter("cowslip_searches_given_up_total")
 	droppedUnreadable = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="unreadable_packet"}`)
 	droppedForeign    = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="foreign_header"}`)
 )
--- a/forward/search_again.go
+++ b/forward/search_again.go
@@ -15,6 +15,9 @@
 	searchAgainAfter = dispatch.SearchLimit + 10*time.Millisecond
 	// searchRepeats is how often a balancer searches a packet anew by itself. The last search asks each target alone.
 	searchRepeats = 2
+	// repeatsPerSecond bounds the searches that a balancer repeats. Where far more do not end, as after a loss of power, they
+	// would take the links from what can be served; callers repeat their packets later.
+	repeatsPerSecond = 20
 	// maxSearched bounds the packets that are kept for it.
 	maxSearched = 1024
 )
@@ -83,6 +86,10 @@
 	b.heldMu.Lock()
 	defer b.heldMu.Unlock()
 	for _, searched := range list {
+		if !b.repeats.Allow() {
+			searchesGivenUp.Inc()
+			continue
+		}
 		b.searchOneAgain(searched)
 	}
 	b.heldOut.flush()
