--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -42,6 +42,8 @@
 	caller    *platformtest.Caller
 	outcomes  *burn.Recorder[string]
 
+	dirMu sync.Mutex // guards dir and revision; confirmations read the view from goroutines of their own
+
 	mu   sync.Mutex
 	pick func(key flow.Key) int // balancer of a packet
 }
@@ -75,15 +77,23 @@
 }
 
 func (b *bed) apply(r directory.Record) {
+	b.dirMu.Lock()
+	defer b.dirMu.Unlock()
 	b.revision++
 	r.Revision = b.revision
 	b.dir.Apply(&r, time.Second)
 	b.dir.Advance(b.revision)
 }
 
+func (b *bed) view() *directory.View {
+	b.dirMu.Lock()
+	defer b.dirMu.Unlock()
+	return b.dir.View()
+}
+
 func (b *bed) publish() {
 	for _, balancer := range b.balancers {
-		balancer.SetView(b.dir.View(), balancer.Now())
+		balancer.SetView(b.view(), balancer.Now())
 	}
 }
 
@@ -108,7 +118,7 @@
 		Log:      slog.New(slog.DiscardHandler),
 		Sampler:  logsink.NewSampler(1),
 		Outcomes: b.outcomes,
-		Confirm:  func() { go func() { balancer.SetView(b.dir.View(), balancer.Now()) }() },
+		Confirm:  func() { go func() { balancer.SetView(b.view(), balancer.Now()) }() },
 	})
 	require.NoError(b.t, err)
 	go balancer.Run()
