Let one function decide about held and searched packets once more

searchOneAgain repeated decideAgain but for the number of searches that may follow; decideAgain takes that number now. Behaviour is the same.

--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -97,13 +97,13 @@
 	b.heldMu.Lock()
 	defer b.heldMu.Unlock()
 	for _, held := range due {
-		b.decideAgain(b.heldOut, held.packet, b.clock.now()-held.at)
+		b.decideAgain(b.heldOut, held.packet, b.clock.now()-held.at, searchRepeats)
 	}
 	b.heldOut.flush()
 }
 
-// decideAgain decides about a packet that was held for some time.
-func (b *Balancer) decideAgain(out *outboxes, packet []byte, held time.Duration) {
+// decideAgain decides about a packet that was held for some time. A search of it may be repeated so often.
+func (b *Balancer) decideAgain(out *outboxes, packet []byte, held time.Duration, repeats int) {
 	p, err := platform.DecodePacket(packet)
 	if err != nil {
 		return // it was readable when it was held
@@ -113,7 +113,7 @@
 	d := b.dispatcher.FromCaller(&p, b.clock.now())
 	b.mu.Unlock()
 	b.act(out, &d, &p, packet)
-	b.hold(&d, &p, packet, searchRepeats)
+	b.hold(&d, &p, packet, repeats)
 }
 
 // hold keeps a packet until the view allows a decision or a search ends. A search that does not may be repeated so often.
@@ -238,7 +238,7 @@
 	held := b.held.ofFlow(p.FromCaller())
 	b.mu.Unlock()
 	for _, packet := range held {
-		b.decideAgain(out, packet, 0)
+		b.decideAgain(out, packet, 0, searchRepeats)
 	}
 }
 
--- a/forward/search_again.go
+++ b/forward/search_again.go
@@ -6,7 +6,6 @@
 
 	"github.com/cowslipward/cowslipward/dispatch"
 	"github.com/cowslipward/cowslipward/flow"
-	"github.com/cowslipward/cowslipward/platform"
 )
 
 const (
@@ -90,19 +89,7 @@
 			searchesGivenUp.Inc()
 			continue
 		}
-		b.searchOneAgain(searched)
+		b.decideAgain(b.heldOut, searched.packet, 0, searched.left-1)
 	}
 	b.heldOut.flush()
 }
-
-func (b *Balancer) searchOneAgain(searched searchedPacket) {
-	p, err := platform.DecodePacket(searched.packet)
-	if err != nil {
-		return // it was readable when it was kept
-	}
-	b.mu.Lock()
-	d := b.dispatcher.FromCaller(&p, b.clock.now())
-	b.mu.Unlock()
-	b.act(b.heldOut, &d, &p, searched.packet)
-	b.hold(&d, &p, searched.packet, searched.left-1)
-}
