--- a/test/child/child.go
+++ b/test/child/child.go
@@ -56,7 +56,8 @@
 	command := exec.Command(program, args...)
 	command.Stdout = log
 	command.Stderr = log
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// A group of its own keeps the SIGHUP from a stopped child that the kernel sends to a group without a shell.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	p := &Process{Name: name, path: path, command: command, exited: make(chan struct{})}
 	launch(func() { err = command.Start() })
 	if err != nil {
@@ -71,6 +72,9 @@
 	return p, nil
 }
 
+// ID returns the process ID.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
 // Signal sends a signal. It fails where the process has ended.
 func (p *Process) Signal(s syscall.Signal) error {
 	select {
