Membership by failure domain: two relays a domain carry hellos and updates

Cause: each balancer said hello to every other one each second, and the reader sent each update to all of them, in JSON with up to 64 peers.

Change: the two live balancers with the lowest addresses of a failure domain are its relays. Others say hello to them only; relays know the relays of the other domains and ask the seeds, by which groups meet. An update goes to the relays, which pass it on once. Messages have a binary header. A fetch for an update no longer holds up the messages behind it.

The port finder of viewsync's tests now also checks UDP: a test failed once with a port taken by an outgoing socket.

--- a/cmd/cowslip-l4/balancer.go
+++ b/cmd/cowslip-l4/balancer.go
@@ -94,6 +94,7 @@
 	v, err := viewsync.Open(viewsync.Config{
 		Store:   platform.NewStore(s.Store, s.Peers.Addr(), storeDialTimeout),
 		Self:    s.Peers,
+		Domain:  s.FailureDomain,
 		Seeds:   s.Seeds,
 		Now:     b.Now,
 		Publish: publish,
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -173,8 +173,8 @@
 	return ""
 }
 
-// ServiceTag returns the number by which packets between processes name a service.
-func ServiceTag(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
+// Tag returns the number by which messages between processes name a service or a failure domain.
+func Tag(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 func newView(revision uint64, config *Config, targets map[string]*Target, out map[string]bool, formerly map[string][]string) *View {
 	v := &View{
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -134,7 +134,7 @@
 // forward returns the decision to send a packet to the target of its flow.
 func (d *Dispatcher) forward(e *entry, cause Cause, h encap.Header, now time.Duration) Decision {
 	h.Kind = encap.KindForward
-	h.Service = directory.ServiceTag(e.service)
+	h.Service = directory.Tag(e.service)
 	h.Slots = encap.Clamp8(e.target.Slots)
 	if e.target.ColdUntil() > now {
 		if s := d.view.Service(e.service); s != nil {
--- a/dispatch/search.go
+++ b/dispatch/search.go
@@ -100,7 +100,7 @@
 		return path, false
 	}
 	path.Header.Kind = encap.KindForward
-	path.Header.Service = directory.ServiceTag(path.First.Service)
+	path.Header.Service = directory.Tag(path.First.Service)
 	path.Header.Searches = true
 	path.Header.Round = e.search.round
 	return path, true
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -78,7 +78,7 @@
 	}
 	a := &Agent{
 		config:    c,
-		tag:       directory.ServiceTag(c.Service),
+		tag:       directory.Tag(c.Service),
 		target:    flow.EndpointOf(c.Target),
 		tunnel:    tunnel,
 		outbound:  outbound,
--- /dev/null
+++ b/viewsync/fetch.go
@@ -0,0 +1,123 @@
+package viewsync
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cowslipward/cowslipward/directory"
+)
+
+const (
+	// fetchTimeout bounds a fetch from a peer.
+	fetchTimeout = 500 * time.Millisecond
+	// maxFetchBytes bounds the answer to a fetch.
+	maxFetchBytes = 16 << 20
+	recordsPath   = "/records"
+)
+
+// bundle is the answer to a fetch.
+type bundle struct {
+	Whole    bool // Records holds all that holds; else all changes after the revision that was asked for
+	Revision uint64
+	Age      int64 // milliseconds
+	Records  []directory.Record
+}
+
+// fetch takes over what a peer knows beyond this process's view.
+func (s *Syncer) fetch(ctx context.Context, peer netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	asked := s.config.Now()
+	b, err := s.get(ctx, peer)
+	if err != nil {
+		s.config.Log.Warn("fetch_from_peer_failed", "peer", peer, "error", err)
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := asked - time.Duration(b.Age)*time.Millisecond
+	if s.known != 0 {
+		s.noteReturn(s.known, asked)
+	}
+	if b.Whole {
+		s.mergeWhole(b.Records, b.Revision, known)
+	} else {
+		s.merge(b.Records, b.Revision, known)
+	}
+	return s.directory.View().Config != nil
+}
+
+func (s *Syncer) get(ctx context.Context, peer netip.AddrPort) (*bundle, error) {
+	address := fmt.Sprintf("http://%s%s?after=%d", peer, recordsPath, s.revision())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := s.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the peer answered with status %d", answer.StatusCode)
+	}
+	b := &bundle{}
+	return b, json.NewDecoder(io.LimitReader(answer.Body, maxFetchBytes)).Decode(b)
+}
+
+// fetchFromAnyPeer asks the contacts in turn until one has a configuration.
+func (s *Syncer) fetchFromAnyPeer(ctx context.Context) bool {
+	s.mu.Lock()
+	peers := s.members.contacts(s.config.Now())
+	s.mu.Unlock()
+	for _, peer := range peers {
+		if s.fetch(ctx, peer) {
+			return true
+		}
+	}
+	return false
+}
+
+// Handler serves fetches of peers.
+func (s *Syncer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+recordsPath, func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		if err != nil {
+			http.Error(w, "after: want a revision", http.StatusBadRequest)
+			return
+		}
+		s.mu.Lock()
+		now := s.config.Now()
+		b := s.bundle(after, now)
+		s.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(&b); err != nil {
+			s.config.Log.Debug("fetch_not_answered", "peer", r.RemoteAddr, "error", err)
+		}
+	})
+	return mux
+}
+
+// bundle returns what changed after a revision, or all where some of it is not known.
+func (s *Syncer) bundle(after uint64, now time.Duration) bundle {
+	b := bundle{Whole: after < s.directory.Floor(), Revision: s.directory.Revision(), Age: (now - s.known).Milliseconds()}
+	if b.Whole {
+		after = 0
+	}
+	b.Records = s.directory.Since(after, now)
+	return b
+}
+
+// newClient returns the client of fetches.
+func newClient(local netip.Addr) *http.Client {
+	dialer := &net.Dialer{Timeout: fetchTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+}
--- a/viewsync/peers.go
+++ b/viewsync/peers.go
@@ -2,85 +2,63 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
-	"github.com/cowslipward/cowslipward/directory"
+	"github.com/VictoriaMetrics/metrics"
 )
 
-const (
-	// helloPeriod is how often a process tells its contacts that it lives.
-	helloPeriod = time.Second
-	// repeatFor is how long updates repeat a change, so that a lost datagram costs nothing.
-	repeatFor = 700 * time.Millisecond
-	// maxDatagram bounds an update. What does not fit is fetched over TCP.
-	maxDatagram = 1400
-	// fetchTimeout bounds a fetch from a peer.
-	fetchTimeout = 500 * time.Millisecond
-	// maxFetchBytes bounds the answer to a fetch.
-	maxFetchBytes = 16 << 20
-	recordsPath   = "/records"
-)
-
-// message is what processes tell each other by datagram.
-type message struct {
-	Update   bool   // the sender reads the store; else it only says that it lives
-	Confirm  bool   `json:",omitempty"` // the sender wants a view that the store confirms now
-	Base     uint64 // Records holds all changes after this revision
-	Revision uint64
-	Age      int64 // since the store confirmed the view, milliseconds
-	Partial  bool  `json:",omitempty"` // Records did not fit: fetch them
-	Records  []directory.Record
-	Members  []listed
-}
+// repeatFor is how long updates repeat a change, so that a lost datagram costs nothing.
+const repeatFor = 700 * time.Millisecond
 
-// bundle is the answer to a fetch.
-type bundle struct {
-	Whole    bool // Records holds all that holds; else all changes after the revision that was asked for
-	Revision uint64
-	Age      int64 // milliseconds
-	Records  []directory.Record
-}
+var (
+	sentMessages = metrics.NewCounter("cowslip_peer_messages_sent_total")
+	sentBytes    = metrics.NewCounter("cowslip_peer_bytes_sent_total")
+)
 
-// push sends what changed lately to all live peers.
+// push sends what changed lately to the relays, and from there to all live peers.
 func (s *Syncer) push() {
 	s.mu.Lock()
 	now := s.config.Now()
-	m := message{Update: true, Base: s.base(), Revision: s.directory.Revision(), Age: (now - s.known).Milliseconds()}
+	s.updates++
+	m := message{
+		Kind: kindUpdate, Reader: s.config.Self, Number: s.updates,
+		Base: s.base(), Revision: s.directory.Revision(), Age: now - s.known,
+	}
 	m.Records = s.directory.Since(m.Base, now)
-	m.Members = s.members.list(now)
-	peers := s.members.contacts(now)
+	envelopes := s.members.spread(now)
 	s.mu.Unlock()
-	s.send(&m, peers)
+	s.sendAll(&m, envelopes)
+}
+
+// passOn passes the update of a reader on, which came some time ago.
+func (s *Syncer) passOn(m *message, came time.Duration) {
+	s.mu.Lock()
+	now := s.config.Now()
+	passed := *m
+	passed.Age += now - came
+	var envelopes []envelope
+	if s.members.isNews(m.Reader, m.Number) {
+		envelopes = s.members.passOn(m.Reader, m.Domain, now)
+	}
+	s.mu.Unlock()
+	s.sendAll(&passed, envelopes)
 }
 
 // hello tells the contacts that this process lives.
 func (s *Syncer) hello() {
 	s.mu.Lock()
-	now := s.config.Now()
-	m := message{Revision: s.directory.Revision(), Members: s.members.list(now)}
-	peers := s.members.contacts(now)
+	envelopes := s.members.hellos(s.config.Now())
 	s.mu.Unlock()
-	s.send(&m, peers)
+	s.sendAll(&message{Kind: kindHello}, envelopes)
 }
 
-func (s *Syncer) send(m *message, peers []netip.AddrPort) {
-	datagram, err := encode(m)
-	if err != nil {
-		s.config.Log.Error("message_not_encoded", "error", err)
-		return
-	}
-	for _, peer := range peers {
-		if _, err := s.socket.WriteToUDPAddrPort(datagram, peer); err != nil {
-			s.config.Log.Debug("message_not_sent", "peer", peer, "error", err)
-		}
-	}
+// answer names the known peers to a process that asked for them.
+func (s *Syncer) answer(to netip.AddrPort) {
+	s.mu.Lock()
+	known := s.members.answer(to, s.config.Now())
+	s.mu.Unlock()
+	s.sendAll(&message{Kind: kindHello}, []envelope{known})
 }
 
 // askReader asks the process that reads the store for a confirmed view. It reports false where none is known.
@@ -88,27 +66,40 @@
 	s.mu.Lock()
 	now := s.config.Now()
 	ok := !s.reading && s.reader.IsValid() && now-s.known < s.patience
-	m := message{Confirm: true, Revision: s.directory.Revision()}
 	reader := s.reader
 	s.mu.Unlock()
 	if ok {
-		s.send(&m, []netip.AddrPort{reader})
+		s.sendAll(&message{Kind: kindConfirm}, []envelope{{to: []netip.AddrPort{reader}}})
 	}
 	return ok
 }
 
-// encode returns a message that fits in a datagram, without its records where they are too many.
-func encode(m *message) ([]byte, error) {
-	datagram, err := json.Marshal(m)
-	if err != nil || len(datagram) <= maxDatagram {
-		return datagram, err
+// sendAll sends the message in each envelope. It sets what all messages of this process have.
+func (s *Syncer) sendAll(m *message, envelopes []envelope) {
+	m.Domain = s.members.domain
+	for i := range envelopes {
+		m.Pass, m.Asks, m.Members = envelopes[i].pass, envelopes[i].asks, envelopes[i].members
+		s.send(m, envelopes[i].to)
+	}
+}
+
+func (s *Syncer) send(m *message, peers []netip.AddrPort) {
+	if len(peers) == 0 {
+		return
+	}
+	datagram, err := m.encode()
+	if err != nil {
+		s.config.Log.Error("message_not_encoded", "error", err)
+		return
 	}
-	m.Partial, m.Records = true, nil
-	if datagram, err = json.Marshal(m); err != nil || len(datagram) <= maxDatagram {
-		return datagram, err
+	for _, peer := range peers {
+		if _, err := s.socket.WriteToUDPAddrPort(datagram, peer); err != nil {
+			s.config.Log.Debug("message_not_sent", "peer", peer, "error", err)
+			continue
+		}
+		sentMessages.Inc()
+		sentBytes.Add(len(datagram))
 	}
-	m.Members = m.Members[:min(len(m.Members), maxListed/4)]
-	return json.Marshal(m)
 }
 
 // RunPeers exchanges messages with peers until the context ends.
@@ -127,40 +118,62 @@
 			sleep(ctx, retryMin)
 			continue
 		}
-		var m message
-		if err := json.Unmarshal(buffer[:n], &m); err != nil {
+		m, err := decodeMessage(buffer[:n])
+		if err != nil {
 			s.config.Log.Warn("peer_message_unreadable", "peer", from, "error", err)
 			continue
 		}
-		s.receive(ctx, &m, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		s.receive(ctx, m, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
 
+// runHello says hello each period, and at once where the relays of the failure domain changed.
 func (s *Syncer) runHello(ctx context.Context) {
+	ticker := time.NewTicker(helloPeriod)
+	defer ticker.Stop()
 	for ctx.Err() == nil {
 		s.hello()
-		sleep(ctx, helloPeriod)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-s.regroup:
+			sleep(ctx, regroupPause)
+		}
 	}
 }
 
+// regroupPause is the least time between two hellos.
+const regroupPause = 50 * time.Millisecond
+
 // receive takes over a message.
 func (s *Syncer) receive(ctx context.Context, m *message, from netip.AddrPort) {
 	s.mu.Lock()
-	now := s.config.Now()
-	s.members.heardOf(from, now)
-	for _, member := range m.Members {
-		s.members.heardOf(member.Peer, now-time.Duration(member.Age)*time.Millisecond)
+	changed := s.members.learn(from, m.Domain, m.Members, s.config.Now())
+	s.mu.Unlock()
+	if changed {
+		signal(s.regroup)
 	}
-	if !m.Update {
-		s.mu.Unlock()
-		if m.Confirm {
-			s.Confirm()
-		}
+	if m.Asks {
+		s.answer(from)
+	}
+	switch m.Kind {
+	case kindConfirm:
+		s.Confirm()
+	case kindUpdate:
+		s.update(ctx, m, from)
+	}
+}
+
+// update takes over what a reader learned and passes it on where the sender asks for it.
+func (s *Syncer) update(ctx context.Context, m *message, from netip.AddrPort) {
+	if m.Reader == s.config.Self {
 		return
 	}
-	s.reader = from
-	known := now - time.Duration(m.Age)*time.Millisecond - transitMargin
-	yields := from.Compare(s.config.Self) < 0 && known > s.known-patience
+	s.mu.Lock()
+	now := s.config.Now()
+	s.reader = m.Reader
+	known := now - m.Age - transitMargin
+	yields := m.Reader.Compare(s.config.Self) < 0 && known > s.known-patience
 	isWhole := !m.Partial && m.Base <= s.directory.Revision()
 	isBehind := s.directory.Revision() < m.Revision
 	if isWhole || !isBehind {
@@ -171,100 +184,29 @@
 		s.setReading(false)
 	}
 	s.mu.Unlock()
-	if !isWhole && isBehind {
-		s.fetch(ctx, from)
-	}
-	s.notify()
-}
-
-// fetch takes over what a peer knows beyond this process's view.
-func (s *Syncer) fetch(ctx context.Context, peer netip.AddrPort) bool {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	asked := s.config.Now()
-	b, err := s.get(ctx, peer)
-	if err != nil {
-		s.config.Log.Warn("fetch_from_peer_failed", "peer", peer, "error", err)
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known := asked - time.Duration(b.Age)*time.Millisecond
-	if s.known != 0 {
-		s.noteReturn(s.known, asked)
-	}
-	if b.Whole {
-		s.mergeWhole(b.Records, b.Revision, known)
-	} else {
-		s.merge(b.Records, b.Revision, known)
-	}
-	return s.directory.View().Config != nil
-}
-
-func (s *Syncer) get(ctx context.Context, peer netip.AddrPort) (*bundle, error) {
-	address := fmt.Sprintf("http://%s%s?after=%d", peer, recordsPath, s.revision())
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return nil, err
-	}
-	answer, err := s.client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("the peer answered with status %d", answer.StatusCode)
+	if isWhole || !isBehind {
+		s.finishUpdate(m, now)
+		return
 	}
-	b := &bundle{}
-	return b, json.NewDecoder(io.LimitReader(answer.Body, maxFetchBytes)).Decode(b)
+	s.fetchInBackground(ctx, m, from, now)
 }
 
-// fetchFromAnyPeer asks the contacts in turn until one has a configuration.
-func (s *Syncer) fetchFromAnyPeer(ctx context.Context) bool {
-	s.mu.Lock()
-	peers := s.members.contacts(s.config.Now())
-	s.mu.Unlock()
-	for _, peer := range peers {
-		if s.fetch(ctx, peer) {
-			return true
-		}
+// fetchInBackground fetches what an update lacks, unless a fetch runs: messages that come meanwhile must not wait.
+func (s *Syncer) fetchInBackground(ctx context.Context, m *message, from netip.AddrPort, came time.Duration) {
+	if !s.fetching.CompareAndSwap(false, true) {
+		return
 	}
-	return false
-}
-
-// Handler serves fetches of peers.
-func (s *Syncer) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+recordsPath, func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-		if err != nil {
-			http.Error(w, "after: want a revision", http.StatusBadRequest)
-			return
-		}
-		s.mu.Lock()
-		now := s.config.Now()
-		b := s.bundle(after, now)
-		s.mu.Unlock()
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(&b); err != nil {
-			s.config.Log.Debug("fetch_not_answered", "peer", r.RemoteAddr, "error", err)
-		}
-	})
-	return mux
+	go func() {
+		s.fetch(ctx, from)
+		s.fetching.Store(false)
+		s.finishUpdate(m, came)
+	}()
 }
 
-// bundle returns what changed after a revision, or all where some of it is not known.
-func (s *Syncer) bundle(after uint64, now time.Duration) bundle {
-	b := bundle{Whole: after < s.directory.Floor(), Revision: s.directory.Revision(), Age: (now - s.known).Milliseconds()}
-	if b.Whole {
-		after = 0
+// finishUpdate passes an update on, now that this process has what it tells, and wakes the loop.
+func (s *Syncer) finishUpdate(m *message, came time.Duration) {
+	if m.Pass {
+		s.passOn(m, came)
 	}
-	b.Records = s.directory.Since(after, now)
-	return b
-}
-
-// newClient returns the client of fetches.
-func newClient(local netip.Addr) *http.Client {
-	dialer := &net.Dialer{Timeout: fetchTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	signal(s.changed)
 }
--- a/viewsync/read.go
+++ b/viewsync/read.go
@@ -111,7 +111,7 @@
 func (s *Syncer) setReading(reading bool) {
 	if s.reading != reading {
 		s.reading = reading
-		s.config.Log.Info("reading_for_peers", "reading", reading, "peers", len(s.members.live(s.config.Now())))
+		s.config.Log.Info("reading_for_peers", "reading", reading, "peers", s.members.live(s.config.Now()))
 	}
 }
 
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cowslipward/cowslipward/directory"
@@ -36,6 +37,7 @@
 type Config struct {
 	Store   *platform.Store
 	Self    netip.AddrPort // of this process among its peers, UDP and TCP
+	Domain  string         // failure domain of this process
 	Seeds   []netip.AddrPort
 	Now     func() time.Duration // steady clock by which views are dated
 	Publish Publish
@@ -50,6 +52,8 @@
 	patience time.Duration
 	confirm  chan struct{}
 	changed  chan struct{} // signals the loop that the view became fresher or that it has to read
+	regroup  chan struct{} // signals that the relays of the failure domain changed
+	fetching atomic.Bool   // a fetch for an update runs
 
 	mu        sync.Mutex
 	directory *directory.Directory
@@ -57,10 +61,11 @@
 	readAt    time.Duration // of the last answer that the store gave this process
 	graceTill time.Duration
 	reading   bool
-	reader    netip.AddrPort // peer that sent the last update
+	reader    netip.AddrPort // process that read the store for the last update
 	yieldedAt time.Duration  // when the process last left the reading to a peer
 	failing   bool
-	members   *members
+	members   *membership
+	updates   uint32 // number of the last update that this process read
 	recent    []mark
 }
 
@@ -84,14 +89,18 @@
 		confirm:   make(chan struct{}, 1),
 		changed:   make(chan struct{}, 1),
 		directory: directory.New(),
-		members:   newMembers(c.Self, c.Seeds),
+		regroup:   make(chan struct{}, 1),
+		members:   newMembership(c.Self, directory.Tag(c.Domain), c.Seeds),
 	}, nil
 }
 
 // Confirm asks for a confirmation of the view by the store soon.
-func (s *Syncer) Confirm() {
+func (s *Syncer) Confirm() { signal(s.confirm) }
+
+// signal sets a channel of one element, unless it is set.
+func signal(c chan<- struct{}) {
 	select {
-	case s.confirm <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -103,18 +112,19 @@
 	s.members.seeds = seeds
 }
 
-// Reading reports whether this process reads the store for its peers, and Peers how many it knows.
+// Reading reports whether this process reads the store for its peers.
 func (s *Syncer) Reading() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.reading
 }
 
-// Peers returns the number of peers that were heard of lately.
+// Peers returns the number of peers that were heard of lately: those of the failure domain as far as this process knows
+// them, and the first ones of the others.
 func (s *Syncer) Peers() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.members.live(s.config.Now()))
+	return s.members.live(s.config.Now())
 }
 
 // Age returns how long ago the store confirmed the view.
@@ -182,10 +192,3 @@
 	}
 	return max(s.recent[0].revision, s.directory.Floor())
 }
-
-func (s *Syncer) notify() {
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
-}
--- a/viewsync/viewsync_test.go
+++ b/viewsync/viewsync_test.go
@@ -87,12 +87,21 @@
 	return node
 }
 
-// freePort returns a port that is free on all loopback addresses, for UDP and TCP.
+// freePort returns a port that is free on all loopback addresses, for UDP and TCP. Ports of outgoing sockets may take one
+// of the two only.
 func freePort(t *testing.T) int {
-	listener, err := net.Listen("tcp4", "0.0.0.0:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	for {
+		listener, err := net.Listen("tcp4", "0.0.0.0:0")
+		require.NoError(t, err)
+		port := listener.Addr().(*net.TCPAddr).Port
+		socket, err := net.ListenUDP("udp4", &net.UDPAddr{Port: port})
+		_ = listener.Close()
+		if err != nil {
+			continue
+		}
+		_ = socket.Close()
+		return port
+	}
 }
 
 func (n *node) publish(view *directory.View, known time.Duration) {
