Updates of several messages, binary records, no news for beats of cold targets

Entries of cold targets change with each beat, since they name the time left, so that most updates held some.

Change: records have a binary form (a target about 70 bytes, was 260); an update has up to eight messages; a record that says what the held one says keeps the revision since which it does. Removed entries are forgotten beyond 4,096.

The model of the view writes equal entries, loses parts and forgets removals now. It found two faults before they ran: advancing by a part of an update, and equal content that a peer had not held all the while. With more sequences it found one that is older: a lapse older than a copy of the store left an entry at a peer for good.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -98,6 +98,7 @@
 	Kind       Kind
 	Name       string // ID of the target, failure domain, or empty
 	Revision   uint64 // the store's revision of the last change
+	Changed    uint64 `json:",omitempty"` // of a peer's record: the revision since which it says the same
 	Removed    bool
 	Lapse      bool    `json:",omitempty"` // removed while the store was away: it may come back at once
 	Unreadable string  `json:",omitempty"` // why the record could not be read
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -214,3 +214,38 @@
 	apply(peer, 14*time.Second, added("i-1", 1, 4))
 	require.NotNil(t, peer.View().TargetOn([4]byte{10, 0, 0, 1}), "a later entry counts")
 }
+
+// A peer may tell of a lapse that is older than a process's copy of the store. The process then knows that the entry was
+// gone as of its copy too, and must tell peers that hold a record from between the two.
+func TestLapseOlderThanACopyOfTheStore(t *testing.T) {
+	lapse := added("i-1", 1, 2)
+	lapse.Removed, lapse.Lapse = true, true
+	reader, peer := directory.New(), directory.New()
+	apply(peer, time.Second, added("i-1", 1, 3))
+	peer.AdvanceWhole(3)
+	reader.AdvanceWhole(4)
+	apply(reader, time.Second, lapse)
+	whole := reader.Since(0, time.Second)
+	apply(peer, time.Second, append(whole, peer.Missing(whole, 4)...)...)
+	require.Equal(t, []string{"i-1"}, peer.DropLapsed(4*time.Second))
+	require.Zero(t, peer.View().TargetCount())
+}
+
+// Pattern: entries of cold targets are written anew with each beat, since they name the time that is left. They must not
+// cost messages to all peers.
+func TestBeatsOfAColdTargetAreNoNews(t *testing.T) {
+	d := directory.New()
+	beat := func(revision uint64, left, now time.Duration) bool {
+		r := directory.Record{Kind: directory.KindTarget, Name: "i-1", Revision: revision, Target: target("i-1", 1, 1)}
+		r.Target.ColdLeft = left
+		return d.Apply(&r, now)
+	}
+	require.True(t, beat(1, 6*time.Second, time.Second))
+	require.False(t, beat(2, 5*time.Second, 2100*time.Millisecond))
+	require.False(t, beat(3, 4*time.Second, 2900*time.Millisecond))
+	d.Advance(3)
+	require.Empty(t, d.Since(1, 3*time.Second))
+	require.Equal(t, uint64(3), d.Since(0, 3*time.Second)[0].Revision, "an older record does not replace it")
+	require.True(t, beat(4, 20*time.Second, 4*time.Second), "it turned cold again")
+	require.True(t, beat(5, 0, 5*time.Second), "it is warm")
+}
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -19,18 +20,24 @@
 	config    *Config
 	configRev uint64
 	targets   map[string]*Target
-	revs      map[string]uint64 // revision of the last record of each target and failure domain, removals included
+	entries   map[string]revisions // of each target and failure domain, removals included
 	out       map[string]bool
 	formerly  map[string][]string
 	dirty     bool
 	view      *View
 }
 
+// revisions date what is known of a target or a failure domain.
+type revisions struct {
+	last    uint64 // of its last record
+	changed uint64 // of the last record that said something new, which peers have to know
+}
+
 // New returns an empty directory.
 func New() *Directory {
 	d := &Directory{
 		targets:  make(map[string]*Target),
-		revs:     make(map[string]uint64),
+		entries:  make(map[string]revisions),
 		out:      make(map[string]bool),
 		formerly: make(map[string][]string),
 	}
@@ -138,8 +145,16 @@
 	if d.isOld(key, r) {
 		return false
 	}
-	d.revs[key] = r.Revision
 	held := d.targets[r.Name]
+	if held != nil && held.saysSame(r, now) {
+		d.entries[key] = revisions{last: r.Revision, changed: max(r.Changed, d.entries[key].changed)}
+		return false
+	}
+	revision := r.Revision
+	if r.Lapse && held == nil {
+		revision = max(revision, d.floor) // the store lacks the entry as of the floor too
+	}
+	d.entries[key] = revisions{last: revision, changed: revision}
 	switch {
 	case r.Removed && r.Lapse:
 		return d.lapse(r, now)
@@ -153,13 +168,32 @@
 	}
 }
 
+// coldSlack is by how much the ends of a cold start may differ in entries that say the same: each is counted from the time
+// at which it was read.
+const coldSlack = time.Second
+
+// saysSame reports whether a record says nothing new of the target. Entries of a cold target change with each beat, since
+// they name the time that is left.
+func (t *Target) saysSame(r *Record, now time.Duration) bool {
+	if r.Removed || r.Target == nil || t.Lapsed != 0 {
+		return false
+	}
+	next := *r.Target
+	end := t.ColdUntil()
+	if t.ColdLeft > 0 && next.ColdLeft > 0 && (end-now-next.ColdLeft).Abs() <= coldSlack {
+		next.ColdLeft = t.ColdLeft
+	}
+	next.Seed, next.Seen, next.Lapsed = t.Seed, t.Seen, t.Lapsed
+	return next == *t
+}
+
 // isOld reports whether the record says less than what is known: a later record, or a whole copy of the store. A lapse
 // comes after such a copy, since the store no longer holds the entry.
 func (d *Directory) isOld(key string, r *Record) bool {
 	if r.Lapse {
-		return r.Revision <= d.revs[key]
+		return r.Revision <= d.entries[key].last
 	}
-	return r.Revision <= max(d.revs[key], d.floor)
+	return r.Revision <= max(d.entries[key].last, d.floor)
 }
 
 // hold takes over an entry.
@@ -191,7 +225,7 @@
 	if d.isOld(key, r) {
 		return false
 	}
-	d.revs[key] = r.Revision
+	d.entries[key] = revisions{last: r.Revision, changed: r.Revision}
 	changed := d.out[r.Name] == r.Removed
 	if r.Removed {
 		delete(d.out, r.Name)
@@ -217,12 +251,12 @@
 func (d *Directory) missing(present map[string]bool, revision uint64) []Record {
 	var gone []Record
 	for id := range d.targets {
-		if key := recordKey(KindTarget, id); !present[key] && d.revs[key] < revision {
+		if key := recordKey(KindTarget, id); !present[key] && d.entries[key].last < revision {
 			gone = append(gone, Record{Kind: KindTarget, Name: id, Revision: revision, Removed: true})
 		}
 	}
 	for domain := range d.out {
-		if key := recordKey(KindOut, domain); !present[key] && d.revs[key] < revision {
+		if key := recordKey(KindOut, domain); !present[key] && d.entries[key].last < revision {
 			gone = append(gone, Record{Kind: KindOut, Name: domain, Revision: revision, Removed: true})
 		}
 	}
@@ -255,18 +289,40 @@
 	return gone
 }
 
-// Since returns what changed after a revision and still holds, removals included, as of now. Below the floor some removals
-// are missing: what it returns from there is all that holds.
+// ForgetRemovals forgets the removed entries where there are more than a limit. Peers that do not know all up to then have
+// to take over all that holds.
+func (d *Directory) ForgetRemovals(limit int) {
+	if len(d.entries)-len(d.targets)-len(d.out) <= limit {
+		return
+	}
+	for key := range d.entries {
+		domain, isOut := strings.CutPrefix(key, outKey)
+		held := d.out[domain]
+		if !isOut {
+			_, held = d.targets[strings.TrimPrefix(key, targetKey)]
+		}
+		if !held {
+			delete(d.entries, key)
+		}
+	}
+	d.floor = max(d.floor, d.revision)
+}
+
+// Since returns what changed after a revision and still holds, removals included, as of now and in the order in
+// which it changed. Below the floor some removals are missing: what it returns from there is all that holds.
 func (d *Directory) Since(revision uint64, now time.Duration) []Record {
 	var all []Record
 	if d.config != nil && d.configRev > revision {
-		all = append(all, Record{Kind: KindConfig, Revision: d.configRev, Config: d.config})
+		all = append(all, Record{Kind: KindConfig, Revision: d.configRev, Changed: d.configRev, Config: d.config})
 	}
-	for key, rev := range d.revs {
-		if rev > revision {
-			all = append(all, d.record(key, rev, now))
+	for key, known := range d.entries {
+		if known.changed > revision {
+			record := d.record(key, known.last, now)
+			record.Changed = known.changed
+			all = append(all, record)
 		}
 	}
+	slices.SortFunc(all, func(a, b Record) int { return cmp.Compare(a.Changed, b.Changed) })
 	return all
 }
 
--- a/directory/model_test.go
+++ b/directory/model_test.go
@@ -18,8 +18,9 @@
 	present  map[string]bool
 }
 
-func (s *storeModel) write(n int, removed bool) {
+func (s *storeModel) write(n int, state directory.TargetState, removed bool) {
 	r := added(fmt.Sprintf("i-%d", n), byte(n), s.revision+1)
+	r.Target.State, r.Target.Born = state, 1 // entries that say the same are written again and again
 	if removed {
 		r = directory.Record{Kind: directory.KindTarget, Name: r.Name, Revision: r.Revision, Removed: true}
 	}
@@ -54,14 +55,13 @@
 	return list
 }
 
-func (s *storeModel) ids() []string {
-	var ids []string
-	for name, present := range s.present {
-		if present {
-			ids = append(ids, name)
-		}
+// entries returns the state of each entry that holds.
+func (s *storeModel) entries() map[string]directory.TargetState {
+	states := make(map[string]directory.TargetState)
+	for _, r := range s.whole() {
+		states[r.Name] = r.Target.State
 	}
-	return ids
+	return states
 }
 
 // process is one balancer's directory.
@@ -93,16 +93,26 @@
 	}
 }
 
-func (p process) ids() []string {
-	var ids []string
+// pushPart brings a peer some records only of what changed after a revision that it knows, as where the datagrams with the
+// others are lost.
+func (p process) pushPart(to process, base uint64, records int, now time.Duration) {
+	list := p.Since(max(base, p.Floor()), now)
+	for i := range list[:min(records, len(list))] {
+		to.Apply(&list[i], now)
+	}
+}
+
+func (p process) entries() map[string]directory.TargetState {
+	states := make(map[string]directory.TargetState)
 	for _, t := range p.View().Targets("bench") {
-		ids = append(ids, t.ID)
+		states[t.ID] = t.State
 	}
-	return ids
+	return states
 }
 
 // Whoever reads the store, in whatever way and however late, and whatever counts as a lapse: once one process has read
-// all, its updates are through and lapses have ended, all processes know exactly the entries of the store.
+// all, its updates are through and lapses have ended, all processes know exactly the entries of the store
+// and their states.
 func TestModelOfTheView(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const entries, processes = 4, 3
@@ -114,8 +124,11 @@
 		}
 		any := func(name string) process { return all[rapid.IntRange(0, processes-1).Draw(t, name)] }
 		t.Repeat(map[string]func(*rapid.T){
-			"entry is written": func(t *rapid.T) { store.write(rapid.IntRange(1, entries).Draw(t, "entry"), false) },
-			"entry is removed": func(t *rapid.T) { store.write(rapid.IntRange(1, entries).Draw(t, "entry"), true) },
+			"entry is written": func(t *rapid.T) {
+				state := rapid.SampledFrom([]directory.TargetState{directory.TargetReady, directory.TargetDraining}).Draw(t, "state")
+				store.write(rapid.IntRange(1, entries).Draw(t, "entry"), state, false)
+			},
+			"entry is removed": func(t *rapid.T) { store.write(rapid.IntRange(1, entries).Draw(t, "entry"), 0, true) },
 			"time passes":      func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond },
 			"watch": func(t *rapid.T) {
 				p := any("process")
@@ -124,6 +137,12 @@
 			"read of all": func(t *rapid.T) {
 				any("process").takeWhole(store.whole(), store.revision, rapid.Bool().Draw(t, "lapses"), now)
 			},
+			"removals are forgotten": func(t *rapid.T) { any("process").ForgetRemovals(0) },
+			"push in parts": func(t *rapid.T) {
+				from := any("from")
+				base := uint64(rapid.IntRange(0, int(from.Revision())).Draw(t, "base"))
+				from.pushPart(any("to"), base, rapid.IntRange(0, entries).Draw(t, "records"), now)
+			},
 			"push": func(t *rapid.T) {
 				from := any("from")
 				from.push(any("to"), uint64(rapid.IntRange(0, int(from.Revision())).Draw(t, "base")), now)
@@ -137,7 +156,7 @@
 		now += 3 * time.Second
 		for _, p := range all {
 			p.DropLapsed(now)
-			require.ElementsMatch(t, store.ids(), p.ids())
+			require.Equal(t, store.entries(), p.entries())
 		}
 	})
 }
--- a/viewsync/membership.go
+++ b/viewsync/membership.go
@@ -37,10 +37,16 @@
 	domain uint32
 	seeds  []netip.AddrPort
 	peers  map[netip.AddrPort]peer
-	told   time.Duration  // when the process last named the first peers of its domain to all others there
-	asked  time.Duration  // when it last asked the seeds
-	passed netip.AddrPort // reader of the update that was passed on last
-	number uint32         // of that update
+	told   time.Duration // when the process last named the first peers of its domain to all others there
+	asked  time.Duration // when it last asked the seeds
+	passed passed
+}
+
+// passed is the message of an update that a relay passed on last.
+type passed struct {
+	reader netip.AddrPort
+	number uint32
+	part   uint8
 }
 
 func newMembership(self netip.AddrPort, domain uint32, seeds []netip.AddrPort) *membership {
@@ -182,10 +188,13 @@
 }
 
 // isNews reports whether an update was not passed on before, as those are that come through two relays.
-func (m *membership) isNews(reader netip.AddrPort, number uint32) bool {
-	news := m.passed != reader || m.number != number
-	m.passed, m.number = reader, number
-	return news
+func (m *membership) isNews(reader netip.AddrPort, number uint32, part uint8) bool {
+	next := passed{reader: reader, number: number, part: part}
+	if m.passed.reader == reader && m.passed.number == number && part <= m.passed.part {
+		return false
+	}
+	m.passed = next
+	return true
 }
 
 func (m *membership) remoteRelays(domains map[uint32][]netip.AddrPort) []netip.AddrPort {
--- a/viewsync/membership_internal_test.go
+++ b/viewsync/membership_internal_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/flow"
 )
 
 // fleet runs the membership of many processes against a clock of its own.
@@ -110,7 +111,7 @@
 		return
 	}
 	node.updated = f.now
-	if m.Pass && node.isNews(m.Reader, m.Number) {
+	if m.Pass && node.isNews(m.Reader, m.Number, m.Part) {
 		passed := *m
 		f.deliver(node, &passed, node.passOn(m.Reader, m.Domain, f.now))
 	}
@@ -238,7 +239,16 @@
 		{Kind: kindConfirm, Members: []listed{}},
 		{
 			Kind: kindUpdate, Pass: true, Reader: peer, Base: 5, Revision: 6, Age: time.Second, Members: []listed{},
-			Records: []directory.Record{{Kind: directory.KindOut, Name: "a", Revision: 6}},
+			Number: 3, Part: 1, Parts: 2,
+			Records: []directory.Record{
+				{Kind: directory.KindOut, Name: "a", Revision: 6, Changed: 6},
+				{Kind: directory.KindTarget, Name: "i-1", Revision: 7, Changed: 6, Target: &directory.Target{
+					ID: "i-1", Service: "bench", Address: flow.Endpoint{IP: [4]byte{10, 0, 0, 1}, Port: 80}, Domain: "a",
+					Slots: 300, State: directory.TargetDraining, ColdLeft: 1500 * time.Millisecond, Born: 1733309000000,
+				}},
+				{Kind: directory.KindTarget, Name: "i-2", Revision: 8, Removed: true, Lapse: true},
+				{Kind: directory.KindConfig, Revision: 9, Config: &directory.Config{Version: 3}},
+			},
 		},
 	} {
 		datagram, err := m.encode()
@@ -264,6 +274,52 @@
 	require.Empty(t, decoded.Records)
 }
 
+// The records of an update are divided among as many messages as they need, up to a bound.
+func TestUpdatesAreSplit(t *testing.T) {
+	records := func(count int) []directory.Record {
+		list := make([]directory.Record, count)
+		for n := range list {
+			list[n] = directory.Record{Kind: directory.KindOut, Name: fmt.Sprintf("domain-%04d", n), Revision: uint64(n)}
+		}
+		return list
+	}
+	one, ok := split(records(3))
+	require.True(t, ok)
+	require.Len(t, one, 1)
+	some, ok := split(records(100))
+	require.True(t, ok)
+	require.Greater(t, len(some), 1)
+	for _, part := range some {
+		m := message{Kind: kindUpdate, Reader: netip.MustParseAddrPort("10.1.0.10:8166"), Records: part}
+		datagram, err := m.encode()
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(datagram), maxDatagram)
+	}
+	_, ok = split(records(1000))
+	require.False(t, ok)
+	none, ok := split(nil)
+	require.True(t, ok)
+	require.Len(t, none, 1, "an update without records confirms the view")
+}
+
+// Parts of an update may come twice, since two relays pass them on, and may be lost.
+func TestPartsOfAnUpdate(t *testing.T) {
+	reader := netip.MustParseAddrPort("10.1.0.10:8166")
+	part := func(number uint32, n uint8) *message {
+		return &message{Reader: reader, Number: number, Part: n, Parts: 3}
+	}
+	var p partial
+	require.Equal(t, progressDone, p.take(&message{Reader: reader, Number: 1, Parts: 1}))
+	require.Equal(t, progressWaiting, p.take(part(2, 0)))
+	require.Equal(t, progressWaiting, p.take(part(2, 0)), "the other relay's copy")
+	require.Equal(t, progressWaiting, p.take(part(2, 1)))
+	require.Equal(t, progressWaiting, p.take(part(2, 1)))
+	require.Equal(t, progressDone, p.take(part(2, 2)))
+	require.Equal(t, progressWaiting, p.take(part(3, 0)))
+	require.Equal(t, progressLost, p.take(part(3, 2)))
+	require.Equal(t, progressLost, p.take(part(4, 1)), "the first part was lost")
+}
+
 func FuzzDecodeMessage(f *testing.F) {
 	hello := message{Kind: kindHello, Members: []listed{{Peer: netip.MustParseAddrPort("10.1.0.10:8166")}}}
 	update := message{Kind: kindUpdate, Reader: netip.MustParseAddrPort("10.1.0.10:8166"), Records: []directory.Record{{Kind: 1}}}
--- a/viewsync/message.go
+++ b/viewsync/message.go
@@ -1,9 +1,7 @@
 package viewsync
 
 import (
-	"encoding/json"
 	"errors"
-	"fmt"
 	"math"
 	"net/netip"
 	"time"
@@ -33,6 +31,8 @@
 	// Of an update.
 	Pass     bool           // the receiver passes it on to the other processes of its failure domain
 	Partial  bool           // Records did not fit: fetch them
+	Part     uint8          // of the messages of this update, from 0
+	Parts    uint8          // messages of this update
 	Reader   netip.AddrPort // process that read the store
 	Number   uint32         // distinguishes the updates of a reader
 	Base     uint64         // Records holds all changes after this revision
@@ -61,21 +61,13 @@
 
 // encode returns the datagram of a message, without its records where they are too many.
 func (m *message) encode() ([]byte, error) {
-	var records []byte
-	if len(m.Records) > 0 {
-		encoded, err := json.Marshal(m.Records)
-		if err != nil {
-			return nil, fmt.Errorf("encode records: %w", err)
-		}
-		records = encoded
-	}
-	if datagram, err := m.append(records, m.Partial); err != nil || len(datagram) <= maxDatagram {
-		return datagram, err
+	if datagram, err := m.append(m.Records, m.Partial); err == nil && len(datagram) <= maxDatagram {
+		return datagram, nil
 	}
 	return m.append(nil, true)
 }
 
-func (m *message) append(records []byte, partial bool) ([]byte, error) {
+func (m *message) append(records []directory.Record, partial bool) ([]byte, error) {
 	b := cryptobyte.NewBuilder(nil)
 	b.AddUint8(messageVersion)
 	b.AddUint8(uint8(m.Kind))
@@ -91,10 +83,14 @@
 	if m.Kind == kindUpdate {
 		addAddress(b, m.Reader)
 		b.AddUint32(m.Number)
+		b.AddUint8(m.Part)
+		b.AddUint8(m.Parts)
 		b.AddUint64(m.Base)
 		b.AddUint64(m.Revision)
 		b.AddUint32(millis(m.Age))
-		b.AddBytes(records)
+		for i := range records {
+			appendRecord(b, &records[i])
+		}
 	}
 	return b.Bytes()
 }
@@ -141,16 +137,12 @@
 	if m.Kind != kindUpdate {
 		return m, nil
 	}
-	if !readAddress(&s, &m.Reader) || !s.ReadUint32(&m.Number) || !s.ReadUint64(&m.Base) || !s.ReadUint64(&m.Revision) || !readMillis(&s, &m.Age) {
+	if !readAddress(&s, &m.Reader) || !s.ReadUint32(&m.Number) || !s.ReadUint8(&m.Part) || !s.ReadUint8(&m.Parts) || !s.ReadUint64(&m.Base) || !s.ReadUint64(&m.Revision) || !readMillis(&s, &m.Age) {
 		return nil, errNoMessage
 	}
-	if s.Empty() {
-		return m, nil
-	}
-	if err := json.Unmarshal(s, &m.Records); err != nil {
-		return nil, fmt.Errorf("decode records: %w", err)
-	}
-	return m, nil
+	var err error
+	m.Records, err = readRecords(s)
+	return m, err
 }
 
 func readAddress(s *cryptobyte.String, address *netip.AddrPort) bool {
@@ -162,10 +154,3 @@
 	*address = netip.AddrPortFrom(netip.AddrFrom4(ip), port)
 	return true
 }
-
-func readMillis(s *cryptobyte.String, d *time.Duration) bool {
-	var ms uint32
-	ok := s.ReadUint32(&ms)
-	*d = time.Duration(ms) * time.Millisecond
-	return ok
-}
--- a/viewsync/peers.go
+++ b/viewsync/peers.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cowslipward/cowslipward/directory"
 )
 
 // repeatFor is how long updates repeat a change, so that a lost datagram costs nothing.
@@ -25,10 +27,18 @@
 		Kind: kindUpdate, Reader: s.config.Self, Number: s.updates,
 		Base: s.base(), Revision: s.directory.Revision(), Age: now - s.known,
 	}
-	m.Records = s.directory.Since(m.Base, now)
+	records := s.directory.Since(m.Base, now)
 	envelopes := s.members.spread(now)
 	s.mu.Unlock()
-	s.sendAll(&m, envelopes)
+	parts, fits := split(records)
+	if !fits {
+		m.Partial, parts = true, [][]directory.Record{nil}
+	}
+	m.Parts = uint8(len(parts))
+	for i := range parts {
+		m.Part, m.Records = uint8(i), parts[i]
+		s.sendAll(&m, envelopes)
+	}
 }
 
 // passOn passes the update of a reader on, which came some time ago.
@@ -38,7 +48,7 @@
 	passed := *m
 	passed.Age += now - came
 	var envelopes []envelope
-	if s.members.isNews(m.Reader, m.Number) {
+	if s.members.isNews(m.Reader, m.Number, m.Part) {
 		envelopes = s.members.passOn(m.Reader, m.Domain, now)
 	}
 	s.mu.Unlock()
@@ -174,17 +184,21 @@
 	s.reader = m.Reader
 	known := now - m.Age - transitMargin
 	yields := m.Reader.Compare(s.config.Self) < 0 && known > s.known-patience
-	isWhole := !m.Partial && m.Base <= s.directory.Revision()
+	state := s.parts.take(m)
+	isWhole := state == progressDone && !m.Partial && m.Base <= s.directory.Revision()
 	isBehind := s.directory.Revision() < m.Revision
-	if isWhole || !isBehind {
+	switch {
+	case isWhole || !isBehind:
 		s.merge(m.Records, m.Revision, known)
+	default:
+		s.apply(m.Records) // as far as they are known; the others follow or are fetched
 	}
 	if yields {
 		s.yieldedAt = now
 		s.setReading(false)
 	}
 	s.mu.Unlock()
-	if isWhole || !isBehind {
+	if isWhole || !isBehind || state == progressWaiting {
 		s.finishUpdate(m, now)
 		return
 	}
--- /dev/null
+++ b/viewsync/record.go
@@ -0,0 +1,202 @@
+package viewsync
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/crypto/cryptobyte"
+
+	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/flow"
+)
+
+// Flags of a record.
+const (
+	flagRemoved uint8 = 1 << iota
+	flagLapse
+	flagBody
+)
+
+var errRecord = errors.New("record of a peer cannot be read")
+
+// appendRecord appends the binary form of a record. A configuration in it is JSON.
+func appendRecord(b *cryptobyte.Builder, r *directory.Record) {
+	b.AddUint8(uint8(r.Kind))
+	b.AddUint8(flag(r.Removed, flagRemoved) | flag(r.Lapse, flagLapse) | flag(r.Target != nil || r.Config != nil, flagBody))
+	addString(b, r.Name)
+	b.AddUint64(r.Revision)
+	b.AddUint64(r.Changed)
+	switch {
+	case r.Target != nil:
+		appendTarget(b, r.Target)
+	case r.Config != nil:
+		appendConfig(b, r.Config)
+	}
+}
+
+func appendConfig(b *cryptobyte.Builder, c *directory.Config) {
+	encoded, err := json.Marshal(c)
+	if err != nil {
+		b.SetError(fmt.Errorf("encode configuration: %w", err))
+		return
+	}
+	b.AddUint24LengthPrefixed(func(b *cryptobyte.Builder) { b.AddBytes(encoded) })
+}
+
+// appendTarget leaves the ID out, which is the name of the record, and what the receiver sets itself.
+func appendTarget(b *cryptobyte.Builder, t *directory.Target) {
+	addString(b, t.Service)
+	b.AddBytes(t.Address.IP[:])
+	b.AddUint16(t.Address.Port)
+	addString(b, t.Domain)
+	b.AddUint32(uint32(t.Slots))
+	b.AddUint8(uint8(t.State))
+	b.AddUint32(millis(t.ColdLeft))
+	b.AddUint64(uint64(t.Born))
+}
+
+func addString(b *cryptobyte.Builder, text string) {
+	b.AddUint8LengthPrefixed(func(b *cryptobyte.Builder) { b.AddBytes([]byte(text)) })
+}
+
+// readRecords reads records up to the end.
+func readRecords(s cryptobyte.String) ([]directory.Record, error) {
+	var records []directory.Record
+	for !s.Empty() {
+		r, err := readRecord(&s)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+func readRecord(s *cryptobyte.String) (directory.Record, error) {
+	var r directory.Record
+	var kind, flags uint8
+	ok := s.ReadUint8(&kind) && s.ReadUint8(&flags) && readString(s, &r.Name) && s.ReadUint64(&r.Revision) && s.ReadUint64(&r.Changed)
+	r.Kind, r.Removed, r.Lapse = directory.Kind(kind), flags&flagRemoved != 0, flags&flagLapse != 0
+	if !ok {
+		return r, errRecord
+	}
+	if flags&flagBody == 0 {
+		return r, nil
+	}
+	switch r.Kind {
+	case directory.KindTarget:
+		return r, readTarget(s, &r)
+	case directory.KindConfig:
+		return r, readConfig(s, &r)
+	default:
+		return r, errRecord
+	}
+}
+
+func readConfig(s *cryptobyte.String, r *directory.Record) error {
+	var encoded cryptobyte.String
+	if !s.ReadUint24LengthPrefixed(&encoded) {
+		return errRecord
+	}
+	r.Config = &directory.Config{}
+	if err := json.Unmarshal(encoded, r.Config); err != nil {
+		return fmt.Errorf("decode configuration: %w", err)
+	}
+	return nil
+}
+
+func readTarget(s *cryptobyte.String, r *directory.Record) error {
+	t := &directory.Target{ID: r.Name, Address: flow.Endpoint{}}
+	var slots uint32
+	var state uint8
+	var born uint64
+	ok := readString(s, &t.Service) && s.CopyBytes(t.Address.IP[:]) && s.ReadUint16(&t.Address.Port) &&
+		readString(s, &t.Domain) && s.ReadUint32(&slots) && s.ReadUint8(&state) && readMillis(s, &t.ColdLeft) && s.ReadUint64(&born)
+	if !ok {
+		return errRecord
+	}
+	t.Slots, t.State, t.Born = int(slots), directory.TargetState(state), int64(born)
+	r.Target = t
+	return nil
+}
+
+func readString(s *cryptobyte.String, text *string) bool {
+	var bytes cryptobyte.String
+	ok := s.ReadUint8LengthPrefixed(&bytes)
+	*text = string(bytes)
+	return ok
+}
+
+func readMillis(s *cryptobyte.String, d *time.Duration) bool {
+	var ms uint32
+	ok := s.ReadUint32(&ms)
+	*d = time.Duration(ms) * time.Millisecond
+	return ok
+}
+
+const (
+	// recordRoom is how many bytes of records a message carries, beside its header and the peers that it names.
+	recordRoom = 1000
+	// maxParts bounds the messages of one update. More records are fetched.
+	maxParts = 8
+)
+
+// split divides the records of an update among messages, in their order. It reports false where they do not fit.
+func split(records []directory.Record) (parts [][]directory.Record, ok bool) {
+	parts = [][]directory.Record{nil}
+	size := 0
+	for i := range records {
+		b := cryptobyte.NewBuilder(nil)
+		appendRecord(b, &records[i])
+		encoded, err := b.Bytes()
+		if err != nil || len(encoded) > recordRoom {
+			return nil, false
+		}
+		if size+len(encoded) > recordRoom {
+			parts, size = append(parts, nil), 0
+		}
+		size += len(encoded)
+		parts[len(parts)-1] = append(parts[len(parts)-1], records[i])
+	}
+	return parts, len(parts) <= maxParts
+}
+
+// partial follows the parts of an update of several messages.
+type partial struct {
+	reader netip.AddrPort
+	number uint32
+	next   uint8 // part that comes next
+}
+
+// progress says what a message is in an update of several.
+type progress uint8
+
+const (
+	progressDone    progress = iota // all parts came
+	progressWaiting                 // others follow, or this one came before
+	progressLost                    // one was lost
+)
+
+// take notes a part. Messages that come through two relays come twice.
+func (p *partial) take(m *message) progress {
+	if m.Parts <= 1 {
+		return progressDone
+	}
+	if p.reader != m.Reader || p.number != m.Number {
+		*p = partial{reader: m.Reader, number: m.Number}
+	}
+	switch {
+	case m.Part < p.next:
+		return progressWaiting
+	case m.Part > p.next:
+		return progressLost
+	}
+	p.next++
+	if p.next == m.Parts {
+		return progressDone
+	}
+	return progressWaiting
+}
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -26,6 +26,8 @@
 	awayLimit = 2 * time.Second
 	// returnGrace is how long after the return of the store a removal counts as a lapse.
 	returnGrace = 2 * time.Second
+	// maxRemovals bounds the removed entries that are remembered for peers.
+	maxRemovals = 4096
 	// transitMargin is taken off the date of a view that a peer sent, for the way of its datagram.
 	transitMargin = 5 * time.Millisecond
 )
@@ -66,6 +68,7 @@
 	failing   bool
 	members   *membership
 	updates   uint32 // number of the last update that this process read
+	parts     partial
 	recent    []mark
 }
 
@@ -170,6 +173,7 @@
 	for _, id := range s.directory.DropLapsed(now) {
 		s.config.Log.Info("target_lapsed", "target", id)
 	}
+	s.directory.ForgetRemovals(maxRemovals)
 	s.known = max(s.known, known)
 	s.remember(revision, now)
 	s.config.Publish(s.directory.View(), s.known)
