Feed: every view follows its outages and counts its members

Two races of the goroutine that builds views, both seen once under load.

Cause: rules that come into force between the check at the top of the loop and a build for a change of members are in that view, and the check then finds nothing new, so that the outage was never noted and the process went on dialing the domain. Ruled out: lingering connections (both sides close them), pauses (none in the logs), restarts.

Change: buildView itself notes outages, and the loop looks at what is due rather than at signals.

--- a/feed/views.go
+++ b/feed/views.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cowslipward/cowslipward/rules"
 )
 
 // Times of the view builder.
@@ -24,9 +26,7 @@
 		ruled := f.book.changed.wait()
 		moved := f.moved.wait()
 		rebuild := f.rebuild.wait()
-		set := f.book.current()
-		if set != nil && set.Revision != f.View().Rules().Revision {
-			f.outages.follow(set, f.outSince())
+		if f.isViewBehind() {
 			version, pause = f.buildView()
 			flush = nil
 		}
@@ -42,8 +42,6 @@
 		case <-ruled:
 		case <-moved:
 		case <-rebuild:
-			version, pause = f.buildView()
-			flush = nil
 		case <-flush:
 			flush = nil
 			version, pause = f.buildView()
@@ -51,12 +49,27 @@
 	}
 }
 
+// isViewBehind reports whether a view is due at once: for new rules, or for members that arrived while the last one was
+// built.
+func (f *Feed) isViewBehind() bool {
+	return f.isRuleNews(f.book.current()) || (f.merged.Load() && !f.complete.Load())
+}
+
+// isRuleNews reports whether the view shows other rules.
+func (f *Feed) isRuleNews(set *rules.Set) bool {
+	return set != nil && set.Revision != f.View().Rules().Revision
+}
+
 // buildView returns the version of the table that the new view holds, and how long to wait before the next one.
 func (f *Feed) buildView() (uint64, time.Duration) {
 	begin := time.Now()
 	merged := f.merged.Load()
 	version := f.table.Version()
-	f.view.Store(f.table.View(f.book.current(), f.outages.ramps()))
+	set := f.book.current()
+	if f.isRuleNews(set) {
+		f.outages.follow(set, f.outSince())
+	}
+	f.view.Store(f.table.View(set, f.outages.ramps()))
 	if merged {
 		f.complete.Store(true)
 	}
