Back off from a store that refuses, for confirmations too

Each balancer asked again each 100 to 400 ms, and each flow that could not be proved gone asked for a confirmation besides.

Change: the pause after failed calls doubles up to 0.8 s, half of it random, and holds for confirmations. A confirmation that finds the history gone reads all.

--- a/viewsync/read.go
+++ b/viewsync/read.go
@@ -17,9 +17,9 @@
 	watchWait = 500 * time.Millisecond
 	// watchPause is the time between two watches, in which changes gather.
 	watchPause = 100 * time.Millisecond
-	// retryMin and retryMax bound the pause after a failed call.
+	// retryMin and retryMax bound the pause after failed calls, which doubles with each.
 	retryMin = 100 * time.Millisecond
-	retryMax = 400 * time.Millisecond
+	retryMax = 800 * time.Millisecond
 	// startRetry is the shortest pause between two calls of a process without any view, which can serve nothing.
 	startRetry = 40 * time.Millisecond
 	// confirmPause is the least time between two confirmations that were asked for.
@@ -83,14 +83,10 @@
 // step makes one call of the store and passes the answer on.
 func (s *Syncer) step(ctx context.Context) {
 	begin := s.config.Now()
-	err := s.watch(ctx, watchWait)
-	if errors.Is(err, platform.ErrHistoryGone) {
-		s.config.Log.Warn("store_history_gone", "revision", s.revision())
-		err = s.readWhole(ctx)
-	}
-	if err != nil {
+	if err := s.readChanges(ctx, watchWait); err != nil {
+		s.stopReading()
 		s.noteFailure(err)
-		sleep(ctx, retryMin+rand.N(retryMax-retryMin))
+		s.waitForChange(ctx, s.untilRetry())
 		return
 	}
 	s.takeOver(begin)
@@ -98,6 +94,16 @@
 	sleep(ctx, watchPause)
 }
 
+// readChanges takes over what changed in the store. Where it no longer has the changes, all of it is read.
+func (s *Syncer) readChanges(ctx context.Context, wait time.Duration) error {
+	err := s.watch(ctx, wait)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		s.config.Log.Warn("store_history_gone", "revision", s.revision())
+		return s.readWhole(ctx)
+	}
+	return err
+}
+
 // takeOver makes the process the reader, unless it yielded to another one during its call.
 func (s *Syncer) takeOver(begin time.Duration) {
 	s.mu.Lock()
@@ -107,6 +113,12 @@
 	}
 }
 
+func (s *Syncer) stopReading() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setReading(false)
+}
+
 // setReading notes whether the process reads for its peers. The caller holds the lock.
 func (s *Syncer) setReading(reading bool) {
 	if s.reading != reading {
@@ -165,10 +177,10 @@
 	if s.readAt != 0 {
 		s.noteReturn(max(s.readAt, s.known), now)
 	}
-	if s.failing {
-		s.failing = false
-		s.config.Log.Info("store_regained", "away", now-s.readAt, "revision", revision)
+	if s.failures > 0 {
+		s.config.Log.Info("store_regained", "away", now-s.readAt, "failures", s.failures, "revision", revision)
 	}
+	s.failures, s.retryAt = 0, 0
 	s.readAt = now
 }
 
@@ -189,11 +201,29 @@
 func (s *Syncer) noteFailure(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setReading(false)
-	if !s.failing {
-		s.failing = true
-		s.config.Log.Warn("store_lost", "error", err, "view_age", s.config.Now()-s.known)
+	now := s.config.Now()
+	if s.failures == 0 {
+		s.config.Log.Warn("store_lost", "error", err, "view_age", now-s.known)
 	}
+	s.failures++
+	s.retryAt = now + retryPause(s.failures)
+}
+
+// retryPause returns the pause after so many failed calls in a row. Its random half keeps the calls of all processes, each
+// of which has a price, from coming at once.
+func retryPause(failures int) time.Duration {
+	pause := min(retryMax, retryMin<<min(failures-1, maxDoublings))
+	return pause/2 + rand.N(pause/2)
+}
+
+// maxDoublings keeps the pause from overflowing.
+const maxDoublings = 8
+
+// untilRetry returns how long the process leaves the store alone after failed calls, zero or less where it does not.
+func (s *Syncer) untilRetry() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retryAt - s.config.Now()
 }
 
 // runConfirm makes the confirmations that were asked for. The reader makes them for all; where it does not answer, the
@@ -209,7 +239,7 @@
 		if s.askReader() {
 			sleep(ctx, readerAnswer)
 		}
-		if s.knownAt() < asked {
+		if s.knownAt() < asked && s.untilRetry() <= 0 {
 			s.confirmNow(ctx)
 		}
 		sleep(ctx, confirmPause)
@@ -217,7 +247,8 @@
 }
 
 func (s *Syncer) confirmNow(ctx context.Context) {
-	if err := s.watch(ctx, time.Millisecond); err != nil {
+	if err := s.readChanges(ctx, time.Millisecond); err != nil {
+		s.noteFailure(err)
 		s.config.Log.Warn("confirmation_failed", "error", err, "view_age", s.Age())
 		return
 	}
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -65,7 +65,8 @@
 	reading   bool
 	reader    netip.AddrPort // process that read the store for the last update
 	yieldedAt time.Duration  // when the process last left the reading to a peer
-	failing   bool
+	failures  int            // calls of the store that failed in a row
+	retryAt   time.Duration  // when the store is called again after failures
 	members   *membership
 	updates   uint32 // number of the last update that this process read
 	parts     partial
--- a/viewsync/viewsync_test.go
+++ b/viewsync/viewsync_test.go
@@ -356,3 +356,26 @@
 	requireVersion(t, 2, old, fresh)
 	require.Eventually(t, func() bool { return old.targets() == 1 }, eventually, 10*time.Millisecond)
 }
+
+// Pattern: the store refuses every call while many flows ask for a confirmed view. Refused calls have a price too, and no
+// flow gains from them.
+func TestStoreThatRefusesIsAskedLessAndLess(t *testing.T) {
+	s := newStore(t)
+	putConfig(s, 1)
+	nodes := startFleet(t, s, 4)
+	requireVersion(t, 1, nodes...)
+	s.SetRefuse(func(*http.Request) int { return http.StatusServiceUnavailable })
+	time.Sleep(2 * time.Second) // all of them notice
+	before := s.Calls()
+	const length = 3 * time.Second
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, n := range nodes {
+			n.syncer.Confirm()
+		}
+	}
+	const callsPerSecond = 3 // of each process
+	require.LessOrEqual(t, s.Calls()-before, callsPerSecond*len(nodes)*int(length/time.Second))
+	s.SetRefuse(nil)
+	putConfig(s, 2)
+	requireVersion(t, 2, nodes...)
+}
