Use the idle time of the configuration; drop fields that nothing uses

The flow table kept entries for 20 s whatever the configuration said: a flow that may be idle for a minute cost a search after each pause. It now keeps them for the configured idle time; the test fails before.

Four decoded fields were used by nothing (repeatable, time-out, health path, cold time): they went into each copy of the configuration and each view.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -21,21 +21,17 @@
 
 // Route says where new flows to an address go.
 type Route struct {
-	Name       string
-	Address    flow.Endpoint
-	Choices    []Choice
-	Repeatable bool          // a request may run more than once
-	Timeout    time.Duration // of a request
-	Objective  time.Duration // within which an answer is in time
-	Priority   int           // 0 is the highest
+	Name      string
+	Address   flow.Endpoint
+	Choices   []Choice
+	Objective time.Duration // within which an answer is in time
+	Priority  int           // 0 is the highest
 }
 
 // Service describes the targets of one kind.
 type Service struct {
-	Name       string
-	HealthPath string
-	ColdFor    time.Duration // after its start a target is cold for this long
-	ColdRate   float64       // new flows a second that a cold target bears; 0 is no limit
+	Name     string
+	ColdRate float64 // new flows a second that a cold target bears; 0 is no limit
 }
 
 // Config is a whole configuration.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -15,7 +15,8 @@
 const (
 	// tableEntries bounds the flow table.
 	tableEntries = 200_000
-	// tableIdle is how long an entry stays without a packet, at least. Losing it costs one search.
+	// tableIdle is how long an entry stays without a packet where the configuration names no idle time. Losing it costs one
+	// search.
 	tableIdle = 20 * time.Second
 	// SearchLimit is how long a search waits for answers before the next packet of the flow begins another.
 	SearchLimit = 180 * time.Millisecond
@@ -76,6 +77,9 @@
 		return
 	}
 	d.view = view
+	if view.Config != nil && view.Config.IdleTimeout > 0 {
+		d.table.SetIdle(view.Config.IdleTimeout)
+	}
 	d.loads.Prune(view)
 	for domain := range d.outAt {
 		if !view.IsOut(domain) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -470,3 +470,26 @@
 		require.True(t, alone[ip(n)])
 	}
 }
+
+// Flows that may be idle for longer than the table keeps entries by itself must not cost a search each time.
+func TestTableKeepsFlowsForTheIdleTimeOfTheConfiguration(t *testing.T) {
+	f := newFleet(t)
+	f.target(1, domainA, directory.TargetReady)
+	f.target(2, domainA, directory.TargetReady)
+	config := *f.dir.View().Config
+	config.Version, config.IdleTimeout = 2, time.Minute
+	f.apply(directory.Record{Kind: directory.KindConfig, Config: &config})
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	now := time.Second
+	d.SetView(f.dir.View(), now, now)
+	placed := d.FromCaller(syn(1, 0), now)
+	require.Equal(t, dispatch.OutcomeForward, placed.Outcome)
+	for _, idle := range []time.Duration{time.Second, 50 * time.Second, 59 * time.Second} {
+		for end := now + idle; now < end; now += time.Second {
+			d.FromCaller(syn(2, 0), now) // other flows make the table go through its generations
+		}
+		open := d.FromCaller(data(1), now)
+		require.Equal(t, dispatch.CauseOpen, open.Cause, "after %s", idle)
+		require.Equal(t, placed.Target, open.Target)
+	}
+}
