--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/encap"
 )
@@ -78,11 +80,12 @@
 
 // Decision is the outcome of one packet and what led to it.
 type Decision struct {
-	Outcome Outcome
-	Cause   Cause
-	Target  *directory.Target // of OutcomeForward
-	Header  encap.Header      // of OutcomeForward
-	Paths   []SearchPath      // of OutcomeSearch
-	Service string
-	Seq     uint32 // of OutcomeReset: the number that the caller expects
+	Outcome  Outcome
+	Cause    Cause
+	Target   *directory.Target // of OutcomeForward
+	Header   encap.Header      // of OutcomeForward
+	Paths    []SearchPath      // of OutcomeSearch
+	Service  string
+	Seq      uint32        // of OutcomeReset: the number that the caller expects
+	Searched time.Duration // of CauseUnknownFlow: since the first search of the flow began
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -225,17 +225,23 @@
 	}
 }
 
-// Found notes that the target on the VM holds a flow that was searched.
-func (d *Dispatcher) Found(ip [4]byte, h *encap.Header, p *flow.Packet, now time.Duration) {
+// Found notes that the target on the VM holds a flow that was searched. It returns the time since the first search of the
+// flow began, zero where it was not searched any more.
+func (d *Dispatcher) Found(ip [4]byte, h *encap.Header, p *flow.Packet, now time.Duration) time.Duration {
 	d.Reported(ip, h, now)
 	e, held := d.table.Get(p.FromCaller(), now)
 	if !held || e.opening {
-		return
+		return 0
 	}
 	t := d.view.TargetOn(ip)
 	if t == nil {
-		return
+		return 0
 	}
+	began := e.search.began
 	e.target, e.service, e.missAt = t, t.Service, 0
-	e.search.running, e.search.tries = false, 0
+	e.search.running, e.search.tries, e.search.began = false, 0, 0
+	if began == 0 {
+		return 0
+	}
+	return now - began
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -493,3 +493,27 @@
 		require.Equal(t, placed.Target, open.Target)
 	}
 }
+
+// The time of a search counts from the first packet that was searched, also where the search had to be repeated.
+func TestSearchesAreTimedFromTheirFirstPacket(t *testing.T) {
+	f := newFleet(t)
+	for n := range 3 {
+		f.target(n+1, domainA, directory.TargetReady)
+	}
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), time.Second, time.Second)
+	begin := 2 * time.Second
+	require.Equal(t, dispatch.CauseSearch, d.FromCaller(data(1), begin).Cause)
+	again := begin + dispatch.SearchLimit + time.Millisecond
+	require.Equal(t, dispatch.CauseSearch, d.FromCaller(data(1), again).Cause)
+	found := &encap.Header{Kind: encap.KindFound}
+	require.Equal(t, again+10*time.Millisecond-begin, d.Found(ip(2), found, data(1), again+10*time.Millisecond))
+	require.Zero(t, d.Found(ip(2), found, data(1), again+20*time.Millisecond), "a late answer ends nothing")
+
+	require.Equal(t, dispatch.CauseSearch, d.FromCaller(data(2), begin).Cause)
+	_, _ = deliver(d, data(2), [4]byte{}, again)
+	d.SetView(f.dir.View(), again+time.Millisecond, again+time.Millisecond)
+	last, _ := deliver(d, data(2), [4]byte{}, again+5*time.Millisecond)
+	require.Equal(t, dispatch.CauseUnknownFlow, last.Cause)
+	require.Equal(t, again+5*time.Millisecond-begin, last.Searched)
+}
--- a/dispatch/search.go
+++ b/dispatch/search.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -23,6 +24,7 @@
 type search struct {
 	running bool
 	at      time.Duration // of its start
+	began   time.Duration // of the first search since the flow was known; 0: it is
 	known   time.Duration // when the store confirmed the view by which it began
 	round   uint8         // number of the search, by which late answers are told apart
 	tries   int           // searches since the last one that all targets answered
@@ -38,7 +40,8 @@
 // startSearch sends a packet of an open flow to all targets that may hold it, along several paths.
 func (d *Dispatcher) startSearch(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
 	length := pathLengths[min(e.search.tries, len(pathLengths)-1)]
-	e.search = search{running: true, at: now, known: d.known, round: e.search.round + 1, tries: e.search.tries + 1}
+	began := cmp.Or(e.search.began, now)
+	e.search = search{running: true, at: now, began: began, known: d.known, round: e.search.round + 1, tries: e.search.tries + 1}
 	order, alone := d.apart(d.searchOrder(key, route), now)
 	paths := make([]SearchPath, 0, 1+len(order)/length+len(alone))
 	for start := 0; start < len(order); {
@@ -147,5 +150,5 @@
 	if p.Reset {
 		return Decision{Cause: CauseCallerReset}
 	}
-	return Decision{Outcome: OutcomeReset, Cause: CauseUnknownFlow, Seq: p.Ack}
+	return Decision{Outcome: OutcomeReset, Cause: CauseUnknownFlow, Seq: p.Ack, Searched: now - e.search.began}
 }
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -198,11 +198,13 @@
 	started := b.clock.now()
 	b.mu.Lock()
 	d := b.dispatcher.FromCaller(&p, started)
+	known := b.dispatcher.Known()
 	b.mu.Unlock()
 	b.act(out, &d, &p, datagram)
 	b.hold(&d, &p, datagram, searchRepeats)
 	if d.Cause != dispatch.CauseOpen {
 		decisionTime.Update((b.clock.now() - started).Seconds())
+		decisionViewAge.Update((started - known).Seconds())
 	}
 }
 
@@ -233,10 +235,13 @@
 // found ends the search for a flow and sends the packets that waited for it.
 func (b *Balancer) found(out *outboxes, h *encap.Header, p *flow.Packet, from flow.Endpoint) {
 	b.mu.Lock()
-	b.dispatcher.Found(from.IP, h, p, b.clock.now())
+	took := b.dispatcher.Found(from.IP, h, p, b.clock.now())
 	b.searched.forget(p.FromCaller())
 	held := b.held.ofFlow(p.FromCaller())
 	b.mu.Unlock()
+	if took > 0 {
+		searchesFound.Update(took.Seconds())
+	}
 	for _, packet := range held {
 		b.decideAgain(out, packet, 0, searchRepeats)
 	}
@@ -274,6 +279,9 @@
 		}
 	}
 	decisions[d.Cause].Inc()
+	if d.Cause == dispatch.CauseUnknownFlow {
+		searchesInVain.Update(d.Searched.Seconds())
+	}
 	if d.Cause != dispatch.CauseOpen && d.Cause != dispatch.CauseSearching {
 		b.logDecision(d, p, key)
 	}
--- a/forward/balancer_metrics.go
+++ b/forward/balancer_metrics.go
@@ -11,6 +11,9 @@
 var (
 	decisions         = newDecisionCounters()
 	decisionTime      = metrics.NewHistogram("cowslip_decision_seconds")
+	decisionViewAge   = metrics.NewHistogram("cowslip_decision_view_age_seconds")
+	searchesFound     = metrics.NewHistogram(`cowslip_search_seconds{result="found"}`)
+	searchesInVain    = metrics.NewHistogram(`cowslip_search_seconds{result="in_vain"}`)
 	searchesGivenUp   = metrics.NewCounter("cowslip_searches_given_up_total")
 	droppedUnreadable = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="unreadable_packet"}`)
 	droppedForeign    = metrics.NewCounter(`cowslip_dropped_datagrams_total{cause="foreign_header"}`)
