Reports of agents for the planned size: five bytes, to half of many balancers in turns

At the planned size 90 balancers of a failure domain send to each of 890 targets there. Reports of 26 bytes five times a second made 12 KB a second at an agent and 115 KB at a balancer, beyond the 26 KB of a process. Fleets of up to 50 balancers a domain keep their period.

--- a/encap/encap.go
+++ b/encap/encap.go
@@ -9,14 +9,15 @@
 	"time"
 )
 
-// Bytes is the length of the header without its path, and MaxPath the longest path.
+// Bytes is the length of the header without its path, ReportBytes that of a report's, and MaxPath the longest path.
 const (
-	Bytes   = 26
-	MaxPath = 8
+	Bytes       = 26
+	ReportBytes = 5
+	MaxPath     = 8
 )
 
 // magic begins each header; its last half is the version of the format.
-const magic = 0xc101
+const magic = 0xc102
 
 // Kind says what a datagram is.
 type Kind uint8
@@ -27,7 +28,8 @@
 	KindForward Kind = iota + 1
 	// KindReturn carries a packet back to the balancer, since the target does not take it.
 	KindReturn
-	// KindReport has no packet: an agent tells a balancer of its target's work.
+	// KindReport has no packet: an agent tells a balancer of its target's work. Its header is short and holds Load, Waiting
+	// and Silent only, since reports are most of what large fleets send.
 	KindReport
 	// KindFound tells a balancer that the target holds the flow that it searches; it carries a packet of the flow.
 	KindFound
@@ -116,8 +118,14 @@
 	ErrPath    = errors.New("datagram is shorter than the path in its header")
 )
 
+// reportSilent is the bit of a report's waiting flows that says that the target does not answer.
+const reportSilent = 1 << 7
+
 // Append appends the encoded header.
 func (h *Header) Append(b []byte) []byte {
+	if h.Kind == KindReport {
+		return h.appendReport(b)
+	}
 	var flags byte
 	if h.Last {
 		flags |= flagLast
@@ -142,8 +150,29 @@
 	return b
 }
 
+func (h *Header) appendReport(b []byte) []byte {
+	b = binary.BigEndian.AppendUint16(b, magic)
+	waiting := min(h.Waiting, reportSilent-1)
+	if h.Silent {
+		waiting |= reportSilent
+	}
+	return append(b, byte(h.Kind), h.Load, waiting)
+}
+
+func decodeReport(b []byte) Header {
+	return Header{Kind: KindReport, Load: b[3], Waiting: b[4] &^ reportSilent, Silent: b[4]&reportSilent != 0}
+}
+
+// isReport reports whether a datagram begins as a report does.
+func isReport(b []byte) bool {
+	return len(b) >= ReportBytes && binary.BigEndian.Uint16(b) == magic && Kind(b[2]) == KindReport
+}
+
 // Decode reads the header of a datagram and returns the packet behind it.
 func Decode(b []byte) (Header, []byte, error) {
+	if isReport(b) {
+		return decodeReport(b), b[ReportBytes:], nil
+	}
 	if len(b) < Bytes {
 		return Header{}, nil, ErrShort
 	}
--- a/encap/encap_test.go
+++ b/encap/encap_test.go
@@ -10,8 +10,9 @@
 )
 
 func drawHeader(t *rapid.T) encap.Header {
+	kinds := []encap.Kind{encap.KindForward, encap.KindReturn, encap.KindFound}
 	h := encap.Header{
-		Kind:     encap.Kind(rapid.IntRange(1, 4).Draw(t, "kind")),
+		Kind:     rapid.SampledFrom(kinds).Draw(t, "kind"),
 		Reason:   encap.Reason(rapid.Byte().Draw(t, "reason")),
 		Last:     rapid.Bool().Draw(t, "last"),
 		Searches: rapid.Bool().Draw(t, "searches"),
@@ -45,6 +46,24 @@
 	})
 }
 
+func TestReportsSurviveTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := encap.Header{
+			Kind: encap.KindReport, Load: rapid.Byte().Draw(t, "load"), Waiting: rapid.Byte().Draw(t, "waiting"),
+			Silent: rapid.Bool().Draw(t, "silent"),
+		}
+		encoded := h.Append(nil)
+		require.Len(t, encoded, encap.ReportBytes)
+		got, rest, err := encap.Decode(encoded)
+		require.NoError(t, err)
+		require.Empty(t, rest)
+		h.Waiting = min(h.Waiting, 127)
+		require.Equal(t, h, got)
+		_, _, err = encap.Decode(encoded[:encap.ReportBytes-1])
+		require.ErrorIs(t, err, encap.ErrShort)
+	})
+}
+
 func TestForeignDatagrams(t *testing.T) {
 	h := encap.Header{Kind: encap.KindForward}
 	whole := h.Append(nil)
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -31,8 +31,10 @@
 }
 
 const (
-	// reportPeriod is how often an agent reports to the balancers that send to it.
-	reportPeriod = 200 * time.Millisecond
+	// reportPeriod is how often an agent reports to the balancers that send to it. Where more than reportsPerPeriod do, it
+	// reports to half of them in turns, which stays below the time after which balancers take an agent for silent.
+	reportPeriod     = 200 * time.Millisecond
+	reportsPerPeriod = 50
 	// balancerIdle is how long after its last packet a balancer gets reports.
 	balancerIdle = time.Second
 	// waitCheck is how often flows that wait are looked at beside the events that free a slot.
--- a/forward/agent_balancers.go
+++ b/forward/agent_balancers.go
@@ -56,7 +56,7 @@
 	ticker := time.NewTicker(reportPeriod)
 	defer ticker.Stop()
 	out := a.newOutboxes()
-	for {
+	for turn := 0; ; turn++ {
 		select {
 		case <-a.closed:
 			return
@@ -68,12 +68,29 @@
 		a.probeIfSuspect(now)
 		a.countLost()
 		h := a.header(encap.KindReport, now)
-		for i := range a.balancers {
-			if now-a.balancers[i].seen < balancerIdle {
-				out.balancers.wrap(a.balancers[i].address, &h, nil)
-			}
+		for _, address := range reportsDue(a.balancers, turn, now) {
+			out.balancers.wrap(address, &h, nil)
 		}
 		a.mu.Unlock()
 		out.flush()
 	}
 }
+
+// reportsDue returns the balancers that get a report in this turn: those that sent a packet lately, or where there are
+// many, every second of them.
+func reportsDue(balancers []balancer, turn int, now time.Duration) []flow.Endpoint {
+	due := make([]flow.Endpoint, 0, len(balancers))
+	for i := range balancers {
+		if now-balancers[i].seen < balancerIdle {
+			due = append(due, balancers[i].address)
+		}
+	}
+	if len(due) <= reportsPerPeriod {
+		return due
+	}
+	half := due[:0]
+	for i := turn % 2; i < len(due); i += 2 {
+		half = append(half, due[i])
+	}
+	return half
+}
--- a/viewsync/membership_internal_test.go
+++ b/viewsync/membership_internal_test.go
@@ -145,8 +145,9 @@
 }
 
 const (
-	// controlBytes is the bound of the planned size: bytes a second that a process may spend for control.
-	controlBytes = 26_000
+	// controlBytes is the share of membership and updates in the 26 KB a second that a process may spend for control at the
+	// planned size. Reports of agents get the rest.
+	controlBytes = 14_800
 	settleTime   = 8 * time.Second
 )
 
