Tell peers what changed in a configuration

At the planned size a configuration is some 400 KB, which each relay sent to 45 peers after each change: 18 MB, 14 s of a link of 10 Mbit/s, where it has to be in force in 4 s. A record for peers that hold the configuration before now has the routes that are new or changed and the names of those that are gone; one change of 2,700 routes fits a datagram. Where the routes' order or names do not allow it, and for all other peers, the record has the whole. A process without the base of a change does not advance and fetches all that holds.

--- /dev/null
+++ b/directory/change.go
@@ -0,0 +1,107 @@
+package directory
+
+import (
+	"reflect"
+	"slices"
+)
+
+// ConfigChange leads from one configuration to the next. At thousands of routes it is a small part of the whole.
+type ConfigChange struct {
+	Base   uint64   // the store's revision of the configuration that it changes
+	Next   Config   // with those routes only that are new or changed
+	Gone   []string // names of routes that the next configuration lacks
+	routes int      // of the next configuration
+}
+
+// isWorthwhile reports whether the change is clearly less than the whole configuration.
+func (c *ConfigChange) isWorthwhile() bool { return 2*len(c.Next.Routes)+len(c.Gone) < c.routes }
+
+// changeOf returns the change from the configuration of a revision to the next one. It reports false where the routes
+// cannot be told apart by their names, or stand in another order.
+func changeOf(old *Config, base uint64, next *Config) (*ConfigChange, bool) {
+	c := &ConfigChange{Base: base, Next: *next, routes: len(next.Routes)}
+	c.Next.Routes = nil
+	held := make(map[string]*Route, len(old.Routes))
+	for i := range old.Routes {
+		held[old.Routes[i].Name] = &old.Routes[i]
+	}
+	for i := range next.Routes {
+		route := &next.Routes[i]
+		if before := held[route.Name]; before == nil || !reflect.DeepEqual(before, route) {
+			c.Next.Routes = append(c.Next.Routes, *route)
+		}
+		delete(held, route.Name)
+	}
+	for i := range old.Routes {
+		if held[old.Routes[i].Name] != nil {
+			c.Gone = append(c.Gone, old.Routes[i].Name)
+		}
+	}
+	return c, reflect.DeepEqual(c.apply(old), next)
+}
+
+// apply returns the next configuration.
+func (c *ConfigChange) apply(old *Config) *Config {
+	next := c.Next
+	next.Routes = make([]Route, 0, len(old.Routes)+len(c.Next.Routes))
+	added := make(map[string]*Route, len(c.Next.Routes))
+	for i := range c.Next.Routes {
+		added[c.Next.Routes[i].Name] = &c.Next.Routes[i]
+	}
+	for i := range old.Routes {
+		route := &old.Routes[i]
+		if changed := added[route.Name]; changed != nil {
+			next.Routes = append(next.Routes, *changed)
+			delete(added, route.Name)
+		} else if !slices.Contains(c.Gone, route.Name) {
+			next.Routes = append(next.Routes, *route)
+		}
+	}
+	for i := range c.Next.Routes {
+		if added[c.Next.Routes[i].Name] != nil {
+			next.Routes = append(next.Routes, c.Next.Routes[i])
+		}
+	}
+	return &next
+}
+
+// configRecord returns what a peer that knows all up to a revision lacks of the configuration in force.
+func (d *Directory) configRecord(revision uint64) Record {
+	r := Record{Kind: KindConfig, Revision: d.configRev, Changed: d.configRev}
+	if d.before == nil || revision < d.beforeRev {
+		r.Config = d.config
+		return r
+	}
+	if d.change == nil {
+		d.change, d.changeOK = changeOf(d.before, d.beforeRev, d.config)
+	}
+	if d.changeOK && d.change.isWorthwhile() {
+		r.Change = d.change
+	} else {
+		r.Config = d.config
+	}
+	return r
+}
+
+// resolve returns the configuration of a record, nil where the record is old or changes one that is not held.
+func (d *Directory) resolve(r *Record) *Config {
+	switch {
+	case r.Revision <= d.configRev:
+		return nil
+	case r.Change == nil:
+		return r.Config
+	case d.config == nil || r.Change.Base != d.configRev:
+		d.unmet = true
+		return nil
+	default:
+		return r.Change.apply(d.config)
+	}
+}
+
+// TakeUnmet reports whether a change could not be applied since the last call, for lack of the configuration that it
+// changes. All that holds has to be taken over then.
+func (d *Directory) TakeUnmet() bool {
+	unmet := d.unmet
+	d.unmet = false
+	return unmet
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -88,18 +88,20 @@
 	KindOut // a failure domain is out of service
 )
 
-// Record is one record of the store in the product's types. Exactly one of Config and Target is set where the kind has
-// a body; a lapse that a peer tells has the entry that lapsed. A record that cannot be read has Unreadable set and stands for no target and no configuration.
+// Record is one record of the store in the product's types. Exactly one of Config, Change and Target is set where the kind
+// has a body; a lapse that a peer tells has the entry that lapsed. A record that cannot be read has Unreadable set and
+// stands for no target and no configuration.
 type Record struct {
 	Kind       Kind
 	Name       string // ID of the target, failure domain, or empty
 	Revision   uint64 // the store's revision of the last change
 	Changed    uint64 `json:",omitempty"` // of a peer's record: the revision since which it says the same
 	Removed    bool
-	Lapse      bool    `json:",omitempty"` // removed while the store was away: it may come back at once
-	Unreadable string  `json:",omitempty"` // why the record could not be read
-	Config     *Config `json:",omitempty"`
-	Target     *Target `json:",omitempty"`
+	Lapse      bool          `json:",omitempty"` // removed while the store was away: it may come back at once
+	Unreadable string        `json:",omitempty"` // why the record could not be read
+	Config     *Config       `json:",omitempty"`
+	Change     *ConfigChange `json:",omitempty"` // of a peer's record, in place of the whole configuration
+	Target     *Target       `json:",omitempty"`
 }
 
 // View is an immutable picture of the deployment.
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -19,6 +19,11 @@
 	floor     uint64 // removals of entries that it never held may be unknown up to this revision
 	config    *Config
 	configRev uint64
+	before    *Config // configuration before the one in force, nil where it is not known
+	beforeRev uint64
+	change    *ConfigChange // from before to config, nil until it is asked for
+	changeOK  bool
+	unmet     bool // a change could not be applied
 	targets   map[string]*Target
 	entries   map[string]revisions // of each target and failure domain, removals included
 	out       map[string]bool
@@ -57,6 +62,9 @@
 // Revision returns the store's revision up to which everything is known.
 func (d *Directory) Revision() uint64 { return d.revision }
 
+// Config returns the configuration in force, nil before the first.
+func (d *Directory) Config() *Config { return d.config }
+
 // Advance notes that everything up to the revision is known.
 func (d *Directory) Advance(revision uint64) {
 	if revision > d.revision {
@@ -89,14 +97,13 @@
 }
 
 func (d *Directory) applyConfig(r *Record) bool {
-	if r.Config == nil || r.Revision <= d.configRev {
-		return false
-	}
-	if d.config != nil && r.Config.Version <= d.config.Version {
+	next := d.resolve(r)
+	if next == nil || (d.config != nil && next.Version <= d.config.Version) {
 		return false
 	}
-	d.noteFormerServices(r.Config)
-	d.config, d.configRev, d.dirty = r.Config, r.Revision, true
+	d.noteFormerServices(next)
+	d.before, d.beforeRev, d.change = d.config, d.configRev, nil
+	d.config, d.configRev, d.dirty = next, r.Revision, true
 	return true
 }
 
@@ -313,7 +320,7 @@
 func (d *Directory) Since(revision uint64, now time.Duration) []Record {
 	var all []Record
 	if d.config != nil && d.configRev > revision {
-		all = append(all, Record{Kind: KindConfig, Revision: d.configRev, Changed: d.configRev, Config: d.config})
+		all = append(all, d.configRecord(revision))
 	}
 	for key, known := range d.entries {
 		if known.changed > revision {
--- a/directory/model_test.go
+++ b/directory/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +17,25 @@
 	revision uint64
 	events   []directory.Record
 	present  map[string]bool
+	version  int64
+}
+
+// writeConfig writes a configuration with some of the routes, and some of them changed.
+func (s *storeModel) writeConfig(present, priority []bool) {
+	s.version++
+	s.revision++
+	config := &directory.Config{Version: s.version}
+	for n := range present {
+		route := directory.Route{Name: fmt.Sprintf("r-%d", n), Choices: []directory.Choice{{Service: "bench", Weight: 1}}}
+		if priority[n] {
+			route.Priority = 1
+		}
+		if present[n] {
+			config.Routes = append(config.Routes, route)
+		}
+	}
+	s.events = append(s.events, directory.Record{Kind: directory.KindConfig, Revision: s.revision, Config: config})
+	s.present[""] = true // its record has no name
 }
 
 func (s *storeModel) write(n int, state directory.TargetState, removed bool) {
@@ -59,11 +79,30 @@
 func (s *storeModel) entries() map[string]directory.TargetState {
 	states := make(map[string]directory.TargetState)
 	for _, r := range s.whole() {
-		states[r.Name] = r.Target.State
+		if r.Target != nil {
+			states[r.Name] = r.Target.State
+		}
 	}
 	return states
 }
 
+// routes returns the routes in force.
+func (s *storeModel) routes() []directory.Route {
+	for _, r := range slices.Backward(s.events) {
+		if r.Config != nil {
+			return r.Config.Routes
+		}
+	}
+	return nil
+}
+
+func (p process) routes() []directory.Route {
+	if p.Config() == nil {
+		return nil
+	}
+	return p.Config().Routes
+}
+
 // process is one balancer's directory.
 type process struct{ *directory.Directory }
 
@@ -73,7 +112,9 @@
 		records[i].Lapse = records[i].Lapse || (lapses && records[i].Removed)
 		p.Apply(&records[i], now)
 	}
-	p.Advance(revision)
+	if !p.TakeUnmet() {
+		p.Advance(revision)
+	}
 	p.DropLapsed(now)
 }
 
@@ -111,11 +152,11 @@
 }
 
 // Whoever reads the store, in whatever way and however late, and whatever counts as a lapse: once one process has read
-// all, its updates are through and lapses have ended, all processes know exactly the entries of the store
-// and their states.
+// all, its updates are through and lapses have ended, all processes know exactly the entries of the store,
+// their states and the routes in force.
 func TestModelOfTheView(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const entries, processes = 4, 3
+		const entries, processes, routes = 4, 3, 5
 		now := time.Second
 		store := &storeModel{present: make(map[string]bool)}
 		var all [processes]process
@@ -128,6 +169,10 @@
 				state := rapid.SampledFrom([]directory.TargetState{directory.TargetReady, directory.TargetDraining}).Draw(t, "state")
 				store.write(rapid.IntRange(1, entries).Draw(t, "entry"), state, false)
 			},
+			"configuration is written": func(t *rapid.T) {
+				flags := rapid.SliceOfN(rapid.Bool(), routes, routes)
+				store.writeConfig(flags.Draw(t, "present"), flags.Draw(t, "priority"))
+			},
 			"entry is removed": func(t *rapid.T) { store.write(rapid.IntRange(1, entries).Draw(t, "entry"), 0, true) },
 			"time passes":      func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond },
 			"watch": func(t *rapid.T) {
@@ -157,6 +202,7 @@
 		for _, p := range all {
 			p.DropLapsed(now)
 			require.Equal(t, store.entries(), p.entries())
+			require.ElementsMatch(t, store.routes(), p.routes())
 		}
 	})
 }
--- a/viewsync/fetch.go
+++ b/viewsync/fetch.go
@@ -46,6 +46,7 @@
 	if s.known != 0 {
 		s.noteReturn(s.known, asked)
 	}
+	s.needWhole = false
 	if b.Whole {
 		s.mergeWhole(b.Records, b.Revision, known)
 	} else {
@@ -54,8 +55,18 @@
 	return s.directory.View().Config != nil
 }
 
+// knownTo returns the revision after which a fetch asks for records.
+func (s *Syncer) knownTo() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.needWhole {
+		return 0
+	}
+	return s.directory.Revision()
+}
+
 func (s *Syncer) get(ctx context.Context, peer netip.AddrPort) (*bundle, error) {
-	address := fmt.Sprintf("http://%s%s?after=%d", peer, recordsPath, s.revision())
+	address := fmt.Sprintf("http://%s%s?after=%d", peer, recordsPath, s.knownTo())
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return nil, err
--- a/viewsync/log.go
+++ b/viewsync/log.go
@@ -6,13 +6,13 @@
 	"github.com/cowslipward/cowslipward/directory"
 )
 
-// logRecord writes one line for a change of what the process believes.
-func logRecord(log *slog.Logger, r *directory.Record) {
+// logRecord writes one line for a change of what the process believes. The configuration is the one in force since.
+func logRecord(log *slog.Logger, r *directory.Record, config *directory.Config) {
 	switch {
 	case r.Unreadable != "":
 		log.Warn("record_unreadable", "name", r.Name, "revision", r.Revision, "error", r.Unreadable)
 	case r.Kind == directory.KindConfig:
-		log.Info("config_in_force", "version", r.Config.Version, "routes", len(r.Config.Routes), "revision", r.Revision)
+		log.Info("config_in_force", "version", config.Version, "routes", len(config.Routes), "by_change", r.Change != nil, "revision", r.Revision)
 	case r.Kind == directory.KindOut:
 		log.Info("failure_domain", "domain", r.Name, "out", !r.Removed, "revision", r.Revision)
 	case r.Lapse:
--- a/viewsync/membership_internal_test.go
+++ b/viewsync/membership_internal_test.go
@@ -249,6 +249,9 @@
 				}},
 				{Kind: directory.KindTarget, Name: "i-2", Revision: 8, Removed: true, Lapse: true},
 				{Kind: directory.KindConfig, Revision: 9, Config: &directory.Config{Version: 3}},
+				{Kind: directory.KindConfig, Revision: 10, Change: &directory.ConfigChange{
+					Base: 9, Next: directory.Config{Version: 4, Routes: []directory.Route{{Name: "r-1"}}}, Gone: []string{"r-2"},
+				}},
 			},
 		},
 	} {
@@ -344,3 +347,27 @@
 		}
 	})
 }
+
+// Pattern: one route of 2,700 changes, as it does 390 times a day at the planned size. The change must fit a datagram, since
+// the whole configuration would take seconds on slow links.
+func TestChangeOfALargeConfigurationFitsADatagram(t *testing.T) {
+	config := func(version int64, priority int) *directory.Config {
+		c := &directory.Config{Version: version}
+		for n := range 2700 {
+			c.Routes = append(c.Routes, directory.Route{
+				Name: fmt.Sprintf("r-%06d", n), Address: flow.Endpoint{IP: [4]byte{198, 18, byte(n >> 8), byte(n)}, Port: 443},
+				Choices: []directory.Choice{{Service: "bench", Weight: 1}}, Objective: 250 * time.Millisecond,
+			})
+		}
+		c.Routes[1000].Priority = priority
+		return c
+	}
+	d := directory.New()
+	for revision := range uint64(2) {
+		d.Apply(&directory.Record{Kind: directory.KindConfig, Revision: revision + 1, Config: config(int64(revision)+1, int(revision))}, 0)
+		d.Advance(revision + 1)
+	}
+	parts, fits := split(d.Since(1, 0))
+	require.True(t, fits)
+	require.Len(t, parts, 1)
+}
--- a/viewsync/peers.go
+++ b/viewsync/peers.go
@@ -187,10 +187,10 @@
 	state := s.parts.take(m)
 	isWhole := state == progressDone && !m.Partial && m.Base <= s.directory.Revision()
 	isBehind := s.directory.Revision() < m.Revision
-	switch {
-	case isWhole || !isBehind:
-		s.merge(m.Records, m.Revision, known)
-	default:
+	merged := false
+	if isWhole || !isBehind {
+		merged = s.merge(m.Records, m.Revision, known)
+	} else {
 		s.apply(m.Records) // as far as they are known; the others follow or are fetched
 	}
 	if yields {
@@ -198,7 +198,7 @@
 		s.setReading(false)
 	}
 	s.mu.Unlock()
-	if isWhole || !isBehind || state == progressWaiting {
+	if merged || state == progressWaiting {
 		s.finishUpdate(m, now)
 		return
 	}
--- a/viewsync/record.go
+++ b/viewsync/record.go
@@ -18,14 +18,16 @@
 	flagRemoved uint8 = 1 << iota
 	flagLapse
 	flagBody
+	flagChange
 )
 
 var errRecord = errors.New("record of a peer cannot be read")
 
-// appendRecord appends the binary form of a record. A configuration in it is JSON.
+// appendRecord appends the binary form of a record. A configuration in it, or the change of one, is JSON.
 func appendRecord(b *cryptobyte.Builder, r *directory.Record) {
 	b.AddUint8(uint8(r.Kind))
-	b.AddUint8(flag(r.Removed, flagRemoved) | flag(r.Lapse, flagLapse) | flag(r.Target != nil || r.Config != nil, flagBody))
+	b.AddUint8(flag(r.Removed, flagRemoved) | flag(r.Lapse, flagLapse) | flag(r.Target != nil || r.Config != nil, flagBody) |
+		flag(r.Change != nil, flagChange))
 	addString(b, r.Name)
 	b.AddUint64(r.Revision)
 	b.AddUint64(r.Changed)
@@ -33,12 +35,14 @@
 	case r.Target != nil:
 		appendTarget(b, r.Target)
 	case r.Config != nil:
-		appendConfig(b, r.Config)
+		appendJSON(b, r.Config)
+	case r.Change != nil:
+		appendJSON(b, r.Change)
 	}
 }
 
-func appendConfig(b *cryptobyte.Builder, c *directory.Config) {
-	encoded, err := json.Marshal(c)
+func appendJSON(b *cryptobyte.Builder, value any) {
+	encoded, err := json.Marshal(value)
 	if err != nil {
 		b.SetError(fmt.Errorf("encode configuration: %w", err))
 		return
@@ -83,26 +87,29 @@
 	if !ok {
 		return r, errRecord
 	}
-	if flags&flagBody == 0 {
-		return r, nil
-	}
-	switch r.Kind {
-	case directory.KindTarget:
-		return r, readTarget(s, &r)
-	case directory.KindConfig:
-		return r, readConfig(s, &r)
-	default:
-		return r, errRecord
+	isConfig, hasBody, isChange := r.Kind == directory.KindConfig, flags&flagBody != 0, flags&flagChange != 0
+	var err error
+	switch {
+	case hasBody && r.Kind == directory.KindTarget && !isChange:
+		err = readTarget(s, &r)
+	case hasBody && isConfig && !isChange:
+		r.Config = &directory.Config{}
+		err = readJSON(s, r.Config)
+	case isChange && isConfig && !hasBody:
+		r.Change = &directory.ConfigChange{}
+		err = readJSON(s, r.Change)
+	case hasBody || isChange:
+		err = errRecord
 	}
+	return r, err
 }
 
-func readConfig(s *cryptobyte.String, r *directory.Record) error {
+func readJSON(s *cryptobyte.String, into any) error {
 	var encoded cryptobyte.String
 	if !s.ReadUint24LengthPrefixed(&encoded) {
 		return errRecord
 	}
-	r.Config = &directory.Config{}
-	if err := json.Unmarshal(encoded, r.Config); err != nil {
+	if err := json.Unmarshal(encoded, into); err != nil {
 		return fmt.Errorf("decode configuration: %w", err)
 	}
 	return nil
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -70,6 +70,7 @@
 	members   *membership
 	updates   uint32 // number of the last update that this process read
 	parts     partial
+	needWhole bool // the next fetch is for all that holds
 	recent    []mark
 }
 
@@ -138,12 +139,19 @@
 	return s.config.Now() - s.known
 }
 
-// merge applies records that hold all changes up to a revision, logs what they change and publishes the view. The caller
+// merge applies records that hold all changes up to a revision, logs what they change and publishes the view. It reports
+// false where a configuration that one of them changes is not held: all that holds has to be fetched then. The caller
 // holds the lock.
-func (s *Syncer) merge(records []directory.Record, revision uint64, known time.Duration) {
+func (s *Syncer) merge(records []directory.Record, revision uint64, known time.Duration) bool {
 	s.apply(records)
+	if s.directory.TakeUnmet() {
+		s.config.Log.Warn("configuration_change_without_base", "revision", revision)
+		s.needWhole = true
+		return false
+	}
 	s.directory.Advance(revision)
 	s.publish(revision, known)
+	return true
 }
 
 // mergeWhole is merge for records that hold all of the store as of a revision: what they lack has been removed, or lapsed
@@ -163,7 +171,7 @@
 	now := s.config.Now()
 	for i := range records {
 		if s.directory.Apply(&records[i], now) {
-			logRecord(s.config.Log, &records[i])
+			logRecord(s.config.Log, &records[i], s.directory.Config())
 		}
 	}
 }
