--- a/viewsync/fetch.go
+++ b/viewsync/fetch.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +11,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/crypto/cryptobyte"
+
 	"github.com/cowslipward/cowslipward/directory"
 )
 
@@ -24,10 +26,41 @@
 
 // bundle is the answer to a fetch.
 type bundle struct {
-	Whole    bool // Records holds all that holds; else all changes after the revision that was asked for
-	Revision uint64
-	Age      int64 // milliseconds
-	Records  []directory.Record
+	whole    bool // records holds all that holds; else all changes after the revision that was asked for
+	revision uint64
+	age      time.Duration // since the store confirmed the view
+	records  []directory.Record
+}
+
+// bundleVersion is the first byte of each bundle.
+const bundleVersion = 1
+
+var errNoBundle = errors.New("the peer's answer holds no records")
+
+func (b *bundle) encode() ([]byte, error) {
+	out := cryptobyte.NewBuilder(nil)
+	out.AddUint8(bundleVersion)
+	out.AddUint8(flag(b.whole, 1))
+	out.AddUint64(b.revision)
+	out.AddUint32(millis(b.age))
+	for i := range b.records {
+		appendRecord(out, &b.records[i])
+	}
+	return out.Bytes()
+}
+
+func decodeBundle(encoded []byte) (*bundle, error) {
+	b := &bundle{}
+	s := cryptobyte.String(encoded)
+	var version, whole uint8
+	ok := s.ReadUint8(&version) && version == bundleVersion && s.ReadUint8(&whole) && s.ReadUint64(&b.revision) && readMillis(&s, &b.age)
+	if !ok {
+		return nil, errNoBundle
+	}
+	b.whole = whole == 1
+	var err error
+	b.records, err = readRecords(s)
+	return b, err
 }
 
 // fetch takes over what a peer knows beyond this process's view.
@@ -42,15 +75,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := asked - time.Duration(b.Age)*time.Millisecond
+	known := asked - b.age
 	if s.known != 0 {
 		s.noteReturn(s.known, asked)
 	}
 	s.needWhole = false
-	if b.Whole {
-		s.mergeWhole(b.Records, b.Revision, known)
+	if b.whole {
+		s.mergeWhole(b.records, b.revision, known)
 	} else {
-		s.merge(b.Records, b.Revision, known)
+		s.merge(b.records, b.revision, known)
 	}
 	return s.directory.View().Config != nil
 }
@@ -79,8 +112,11 @@
 	if answer.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("the peer answered with status %d", answer.StatusCode)
 	}
-	b := &bundle{}
-	return b, json.NewDecoder(io.LimitReader(answer.Body, maxFetchBytes)).Decode(b)
+	encoded, err := io.ReadAll(io.LimitReader(answer.Body, maxFetchBytes))
+	if err != nil {
+		return nil, err
+	}
+	return decodeBundle(encoded)
 }
 
 // fetchFromAnyPeer asks the contacts in turn until one has a configuration.
@@ -109,8 +145,14 @@
 		now := s.config.Now()
 		b := s.bundle(after, now)
 		s.mu.Unlock()
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(&b); err != nil {
+		encoded, err := b.encode()
+		if err != nil {
+			s.config.Log.Error("records_not_encoded", "error", err)
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		if _, err := w.Write(encoded); err != nil {
 			s.config.Log.Debug("fetch_not_answered", "peer", r.RemoteAddr, "error", err)
 		}
 	})
@@ -119,11 +161,11 @@
 
 // bundle returns what changed after a revision, or all where some of it is not known.
 func (s *Syncer) bundle(after uint64, now time.Duration) bundle {
-	b := bundle{Whole: after < s.directory.Floor(), Revision: s.directory.Revision(), Age: (now - s.known).Milliseconds()}
-	if b.Whole {
+	b := bundle{whole: after < s.directory.Floor(), revision: s.directory.Revision(), age: now - s.known}
+	if b.whole {
 		after = 0
 	}
-	b.Records = s.directory.Since(after, now)
+	b.records = s.directory.Since(after, now)
 	return b
 }
 
--- a/viewsync/membership_internal_test.go
+++ b/viewsync/membership_internal_test.go
@@ -371,3 +371,20 @@
 	require.True(t, fits)
 	require.Len(t, parts, 1)
 }
+
+func TestBundlesKeepTheirFields(t *testing.T) {
+	b := bundle{whole: true, revision: 7, age: 20 * time.Millisecond, records: []directory.Record{
+		{Kind: directory.KindConfig, Revision: 3, Changed: 3, Config: &directory.Config{Version: 3}},
+		{Kind: directory.KindTarget, Name: "i-1", Revision: 7, Changed: 6, Target: &directory.Target{ID: "i-1", Service: "bench"}},
+		{Kind: directory.KindTarget, Name: "i-2", Revision: 8, Removed: true},
+	}}
+	encoded, err := b.encode()
+	require.NoError(t, err)
+	decoded, err := decodeBundle(encoded)
+	require.NoError(t, err)
+	require.Equal(t, &b, decoded)
+	for _, bad := range [][]byte{nil, encoded[:13], encoded[:len(encoded)-1], append([]byte{9}, encoded[1:]...)} {
+		_, err := decodeBundle(bad)
+		require.Error(t, err)
+	}
+}
