--- /dev/null
+++ b/directory/config.go
@@ -0,0 +1,96 @@
+package directory
+
+import "slices"
+
+// applyConfig takes over a configuration with a higher version than the one in force.
+func (d *Directory) applyConfig(r *Record) bool {
+	next := d.resolve(r)
+	if next == nil || (d.config != nil && next.Version <= d.config.Version) {
+		return false
+	}
+	d.noteFormerServices(next)
+	d.before, d.beforeRev, d.change = d.config, d.configRev, nil
+	d.config, d.configRev, d.dirty = next, r.Revision, true
+	return true
+}
+
+// noteFormerServices remembers the services that the present configuration names for each route, since open flows stay
+// where they are.
+func (d *Directory) noteFormerServices(next *Config) {
+	if d.config == nil {
+		return
+	}
+	kept := make(map[string][]string)
+	for i := range next.Routes {
+		route := &next.Routes[i]
+		var names []string
+		for _, service := range append(d.formerly[route.Name], d.servicesOf(route.Name)...) {
+			if !route.names(service) && !slices.Contains(names, service) {
+				names = append(names, service)
+			}
+		}
+		if len(names) > 0 {
+			kept[route.Name] = names
+		}
+	}
+	d.formerly = kept
+}
+
+func (d *Directory) servicesOf(route string) []string {
+	for i := range d.config.Routes {
+		if d.config.Routes[i].Name != route {
+			continue
+		}
+		var names []string
+		for _, c := range d.config.Routes[i].Choices {
+			names = append(names, c.Service)
+		}
+		return names
+	}
+	return nil
+}
+
+func (r *Route) names(service string) bool {
+	return slices.ContainsFunc(r.Choices, func(c Choice) bool { return c.Service == service })
+}
+
+// configRecord returns what a peer that knows all up to a revision lacks of the configuration in force.
+func (d *Directory) configRecord(revision uint64) Record {
+	r := Record{Kind: KindConfig, Revision: d.configRev, Changed: d.configRev}
+	if d.before == nil || revision < d.beforeRev {
+		r.Config = d.config
+		return r
+	}
+	if d.change == nil {
+		d.change, d.changeOK = changeOf(d.before, d.beforeRev, d.config)
+	}
+	if d.changeOK && d.change.isWorthwhile() {
+		r.Change = d.change
+	} else {
+		r.Config = d.config
+	}
+	return r
+}
+
+// resolve returns the configuration of a record, nil where the record is old or changes one that is not held.
+func (d *Directory) resolve(r *Record) *Config {
+	switch {
+	case r.Revision <= d.configRev:
+		return nil
+	case r.Change == nil:
+		return r.Config
+	case d.config == nil || r.Change.Base != d.configRev:
+		d.unmet = true
+		return nil
+	default:
+		return r.Change.apply(d.config)
+	}
+}
+
+// TakeUnmet reports whether a change could not be applied since the last call, for lack of the configuration that it
+// changes. All that holds has to be taken over then.
+func (d *Directory) TakeUnmet() bool {
+	unmet := d.unmet
+	d.unmet = false
+	return unmet
+}
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -1,9 +1,7 @@
 package directory
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,57 +94,6 @@
 	}
 }
 
-func (d *Directory) applyConfig(r *Record) bool {
-	next := d.resolve(r)
-	if next == nil || (d.config != nil && next.Version <= d.config.Version) {
-		return false
-	}
-	d.noteFormerServices(next)
-	d.before, d.beforeRev, d.change = d.config, d.configRev, nil
-	d.config, d.configRev, d.dirty = next, r.Revision, true
-	return true
-}
-
-// noteFormerServices remembers the services that the present configuration names for each route, since open flows stay
-// where they are.
-func (d *Directory) noteFormerServices(next *Config) {
-	if d.config == nil {
-		return
-	}
-	kept := make(map[string][]string)
-	for i := range next.Routes {
-		route := &next.Routes[i]
-		var names []string
-		for _, service := range append(d.formerly[route.Name], d.servicesOf(route.Name)...) {
-			if !route.names(service) && !slices.Contains(names, service) {
-				names = append(names, service)
-			}
-		}
-		if len(names) > 0 {
-			kept[route.Name] = names
-		}
-	}
-	d.formerly = kept
-}
-
-func (d *Directory) servicesOf(route string) []string {
-	for i := range d.config.Routes {
-		if d.config.Routes[i].Name != route {
-			continue
-		}
-		var names []string
-		for _, c := range d.config.Routes[i].Choices {
-			names = append(names, c.Service)
-		}
-		return names
-	}
-	return nil
-}
-
-func (r *Route) names(service string) bool {
-	return slices.ContainsFunc(r.Choices, func(c Choice) bool { return c.Service == service })
-}
-
 func (d *Directory) applyTarget(r *Record, now time.Duration) bool {
 	key := targetKey + r.Name
 	if d.isOld(key, r) {
@@ -243,33 +190,6 @@
 	return changed
 }
 
-// Missing returns removals for what a whole copy of the store at a revision lacks.
-func (d *Directory) Missing(records []Record, revision uint64) []Record {
-	present := make(map[string]bool, len(records))
-	for i := range records {
-		if r := &records[i]; !r.Removed || r.Lapse {
-			present[recordKey(r.Kind, r.Name)] = true
-		}
-	}
-	return d.missing(present, revision)
-}
-
-// missing returns removals for what a whole copy of the store lacks.
-func (d *Directory) missing(present map[string]bool, revision uint64) []Record {
-	var gone []Record
-	for id := range d.targets {
-		if key := recordKey(KindTarget, id); !present[key] && d.entries[key].last < revision {
-			gone = append(gone, Record{Kind: KindTarget, Name: id, Revision: revision, Removed: true})
-		}
-	}
-	for domain := range d.out {
-		if key := recordKey(KindOut, domain); !present[key] && d.entries[key].last < revision {
-			gone = append(gone, Record{Kind: KindOut, Name: domain, Revision: revision, Removed: true})
-		}
-	}
-	return gone
-}
-
 // Prefixes of the keys under which revisions are kept.
 const (
 	outKey    = "out/"
@@ -296,59 +216,6 @@
 	return gone
 }
 
-// ForgetRemovals forgets the removed entries where there are more than a limit. Peers that do not know all up to then have
-// to take over all that holds.
-func (d *Directory) ForgetRemovals(limit int) {
-	if len(d.entries)-len(d.targets)-len(d.out) <= limit {
-		return
-	}
-	for key := range d.entries {
-		domain, isOut := strings.CutPrefix(key, outKey)
-		held := d.out[domain]
-		if !isOut {
-			_, held = d.targets[strings.TrimPrefix(key, targetKey)]
-		}
-		if !held {
-			delete(d.entries, key)
-		}
-	}
-	d.floor = max(d.floor, d.revision)
-}
-
-// Since returns what changed after a revision and still holds, removals included, as of now and in the order in
-// which it changed. Below the floor some removals are missing: what it returns from there is all that holds.
-func (d *Directory) Since(revision uint64, now time.Duration) []Record {
-	var all []Record
-	if d.config != nil && d.configRev > revision {
-		all = append(all, d.configRecord(revision))
-	}
-	for key, known := range d.entries {
-		if known.changed > revision {
-			record := d.record(key, known.last, now)
-			record.Changed = known.changed
-			all = append(all, record)
-		}
-	}
-	slices.SortFunc(all, func(a, b Record) int { return cmp.Compare(a.Changed, b.Changed) })
-	return all
-}
-
-// record returns the last record of a target or a failure domain.
-func (d *Directory) record(key string, revision uint64, now time.Duration) Record {
-	if domain, isOut := strings.CutPrefix(key, outKey); isOut {
-		return Record{Kind: KindOut, Name: domain, Revision: revision, Removed: !d.out[domain]}
-	}
-	id := strings.TrimPrefix(key, targetKey)
-	held := d.targets[id]
-	if held == nil {
-		return Record{Kind: KindTarget, Name: id, Revision: revision, Removed: true}
-	}
-	copied := *held
-	copied.ColdLeft = max(0, held.ColdUntil()-now)
-	lapsed := held.Lapsed != 0
-	return Record{Kind: KindTarget, Name: id, Revision: revision, Removed: lapsed, Lapse: lapsed, Target: &copied}
-}
-
 func cloneLists(m map[string][]string) map[string][]string {
 	clone := make(map[string][]string, len(m))
 	for key, list := range m {
