--- a/feed/confirm.go
+++ b/feed/confirm.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cowslipward/cowslipward/fleet"
+	"github.com/cowslipward/cowslipward/internal/wait"
 )
 
 // holdLimit bounds how long decisions are held after a pause when nobody confirms the revision.
@@ -113,7 +114,7 @@
 	epoch := f.confirmation.epoch.Load()
 	for ctx.Err() == nil && f.confirmation.confirmed.Load() < epoch {
 		go f.askOnce(ctx)
-		sleep(ctx, refreshPeriod)
+		wait.For(ctx, refreshPeriod)
 	}
 	if f.confirmation.confirmed.Load() < epoch && f.book.current() != nil {
 		f.log.Warn("revision_unconfirmed", "held", holdLimit)
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/cowslipward/cowslipward/internal/wait"
 )
 
 // leastRead is the shortest time between two reads that brought nothing new, so that a configuration service that
@@ -80,7 +82,7 @@
 		news := next > index
 		index = next
 		if !news {
-			sleep(ctx, jitter(leastRead)-time.Since(begin))
+			wait.For(ctx, jitter(leastRead)-time.Since(begin))
 		}
 	}
 }
@@ -96,7 +98,7 @@
 func (f *Feed) readWithoutRelay(ctx context.Context, since func() time.Time) {
 	rulesNext := true
 	for ctx.Err() == nil {
-		sleep(ctx, fallbackPeriod+rand.N(fallbackPeriod/2))
+		wait.For(ctx, fallbackPeriod+rand.N(fallbackPeriod/2))
 		if lost := since(); lost.IsZero() || time.Since(lost) < fallbackAfter {
 			continue
 		}
--- a/feed/session.go
+++ b/feed/session.go
@@ -17,6 +17,7 @@
 	"github.com/cowslipward/cowslipward/gen/cowslipward/fleet/v1/fleetv1connect"
 	"github.com/cowslipward/cowslipward/internal/fleetpb"
 	"github.com/cowslipward/cowslipward/internal/peer"
+	"github.com/cowslipward/cowslipward/internal/wait"
 )
 
 // Times of a session.
@@ -202,7 +203,7 @@
 
 func (b *backoff) wait(ctx context.Context) {
 	b.next = min(max(2*b.next, redialLeast), cmp.Or(b.most, redialMost))
-	sleep(ctx, jitter(b.next))
+	wait.For(ctx, jitter(b.next))
 }
 
 func (b *backoff) reset() { b.next = 0 }
@@ -211,12 +212,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/test/load/demo.go
+++ b/test/load/demo.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cowslipward/cowslipward/internal/wait"
 	"github.com/cowslipward/cowslipward/test/testbed"
 )
 
@@ -67,7 +68,7 @@
 	}
 	d.run.Recorder.Enter(After)
 	d.mark("steady again")
-	pause(ctx, demoSteady)
+	wait.For(ctx, demoSteady)
 	if err := d.run.Stop(demoStop); err != nil {
 		return err
 	}
@@ -107,13 +108,13 @@
 	if err := publish(d.Bed.Drain(drained, true)); err != nil {
 		return err
 	}
-	pause(ctx, demoChange)
+	wait.For(ctx, demoChange)
 	d.run.MayGiveUp(true)
 	d.mark("take " + domains[1] + " out")
 	if err := publish(d.Bed.Out(domains[1], true)); err != nil {
 		return err
 	}
-	pause(ctx, demoDomainOut)
+	wait.For(ctx, demoDomainOut)
 	d.mark("bring " + domains[1] + " and " + drained + " back")
 	if err := publish(d.Bed.Out(domains[1], false)); err != nil {
 		return err
@@ -121,20 +122,13 @@
 	if err := publish(d.Bed.Drain(drained, false)); err != nil {
 		return err
 	}
-	pause(ctx, demoDomainBack)
+	wait.For(ctx, demoDomainBack)
 	d.run.MayGiveUp(false)
 	return nil
 }
 
 func publish(_ uint64, err error) error { return err }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // replaceBalancer starts a new balancer and shuts the old one down gracefully once the new one is ready.
 func replaceBalancer(bed *testbed.Bed, old, fresh, domain string) error {
 	const limit = 10 * time.Second
--- a/test/load/experiment.go
+++ b/test/load/experiment.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/cowslipward/cowslipward/internal/wait"
 	"github.com/cowslipward/cowslipward/test/testbed"
 )
 
@@ -46,13 +47,13 @@
 		events = append(events, Event{At: time.Since(run.Recorder.Start()), Name: name})
 	}
 	run.WarmUp(ctx)
-	pause(ctx, 3*time.Second)
+	wait.For(ctx, 3*time.Second)
 	run.Recorder.Enter(During)
 	if err := x.replaceAll(ctx, mark); err != nil {
 		return err
 	}
 	run.Recorder.Enter(After)
-	pause(ctx, 5*time.Second)
+	wait.For(ctx, 5*time.Second)
 	if err := run.Stop(stopLimit); err != nil {
 		return err
 	}
@@ -89,7 +90,7 @@
 		if err := publish(x.Bed.Drain(drained, true)); err != nil {
 			return err
 		}
-		pause(ctx, time.Second)
+		wait.For(ctx, time.Second)
 		old, fresh := fmt.Sprintf("entry-%d", i+1), fmt.Sprintf("entry-%d", d.Balancers+i+1)
 		mark("replace " + old)
 		if err := replaceBalancer(x.Bed, old, fresh, d.Domains[i%len(d.Domains)]); err != nil {
@@ -98,7 +99,7 @@
 		if err := publish(x.Bed.Touch("change " + fresh)); err != nil {
 			return err
 		}
-		pause(ctx, 2*time.Second)
+		wait.For(ctx, 2*time.Second)
 	}
 	return nil
 }
@@ -183,7 +184,7 @@
 		events = append(events, Event{At: time.Since(run.Recorder.Start()), Name: name})
 	}
 	run.WarmUp(ctx)
-	pause(ctx, 15*time.Second)
+	wait.For(ctx, 15*time.Second)
 	run.Recorder.Enter(During)
 	run.MayGiveUp(true)
 	domain := x.Bed.Deployment.Domains[1]
@@ -191,14 +192,14 @@
 	if err := publish(x.Bed.Out(domain, true)); err != nil {
 		return err
 	}
-	pause(ctx, 10*time.Second)
+	wait.For(ctx, 10*time.Second)
 	mark("in " + domain)
 	if err := publish(x.Bed.Out(domain, false)); err != nil {
 		return err
 	}
-	pause(ctx, 10*time.Second)
+	wait.For(ctx, 10*time.Second)
 	run.Recorder.Enter(After)
-	pause(ctx, 15*time.Second)
+	wait.For(ctx, 15*time.Second)
 	if err := run.Stop(stopLimit); err != nil {
 		return err
 	}
--- a/test/load/rules.go
+++ b/test/load/rules.go
@@ -5,13 +5,15 @@
 	"fmt"
 	"sort"
 	"time"
+
+	"github.com/cowslipward/cowslipward/internal/wait"
 )
 
 // Rules measures the time until a changed rule is in force at the last process, and the control traffic without changes
 // and meanwhile.
 func (x *Experiment) Rules(ctx context.Context, changes int) error {
 	steady, err := x.controlRates(func() error {
-		pause(ctx, steadyTime)
+		wait.For(ctx, steadyTime)
 		return nil
 	})
 	if err != nil {
@@ -26,7 +28,7 @@
 				return err
 			}
 			times = append(times, float64(took)/float64(time.Millisecond))
-			pause(ctx, changePause)
+			wait.For(ctx, changePause)
 		}
 		return ctx.Err()
 	})
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cowslipward/cowslipward/internal/wait"
 )
 
 // faults injects faults one after the other, and several at once.
@@ -63,7 +65,7 @@
 		if ok {
 			f.inject(kind, v, last)
 		}
-		pause(ctx, time.Duration(200+f.random.IntN(1500))*time.Millisecond)
+		wait.For(ctx, time.Duration(200+f.random.IntN(1500))*time.Millisecond)
 	}
 	f.group.Wait()
 }
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cowslipward/cowslipward/internal/wait"
 	"github.com/cowslipward/cowslipward/platform/platformtest"
 )
 
@@ -67,14 +68,14 @@
 func (l *load) visit(ctx context.Context, random *rand.Rand, service int, long bool) {
 	f, err := l.caller.Open(ctx, serviceAddress(service))
 	if err != nil {
-		pause(ctx, retryPause)
+		wait.For(ctx, retryPause)
 		return
 	}
 	for more := true; more && ctx.Err() == nil; more = long {
 		if !l.request(ctx, f, l.services[service], random.IntN(4) > 0) {
 			break
 		}
-		pause(ctx, time.Duration(50+random.IntN(300))*time.Millisecond)
+		wait.For(ctx, time.Duration(50+random.IntN(300))*time.Millisecond)
 	}
 	f.Close()
 }
@@ -132,12 +133,3 @@
 	}
 	return float64(sum) / max(1, (to-from).Seconds())
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cowslipward/cowslipward/internal/wait"
 )
 
 // Run describes a soak.
@@ -62,14 +64,14 @@
 	group.Go(func() { l.run(loadCtx, r.Callers) })
 	w := newWatcher(bed, l)
 	group.Go(func() { w.run(loadCtx) })
-	pause(ctx, steadyTime+time.Second)
+	wait.For(ctx, steadyTime+time.Second)
 	f := &faults{bed: bed, load: l, services: r.Services, kinds: r.kinds(), random: rand.New(rand.NewPCG(r.Seed, 0)), report: report}
 	faultCtx, stopFaults := context.WithTimeout(ctx, r.Length)
 	f.run(faultCtx)
 	stopFaults()
 	report("faults are over")
 	faultsEnd := time.Since(l.started)
-	pause(ctx, recoverTime+measureTime)
+	wait.For(ctx, recoverTime+measureTime)
 	stopLoad()
 	group.Wait()
 	result, err := r.judge(bed, l, faultsEnd)
--- a/test/soak/watch.go
+++ b/test/soak/watch.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/cowslipward/cowslipward/internal/wait"
 	"github.com/cowslipward/cowslipward/packetstatus"
 	"github.com/cowslipward/cowslipward/test/chart"
 )
@@ -50,7 +51,7 @@
 				w.sampleTarget(v, at)
 			}
 		}
-		pause(ctx, watchPeriod)
+		wait.For(ctx, watchPeriod)
 	}
 }
 
--- a/viewsync/peers.go
+++ b/viewsync/peers.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/internal/wait"
 )
 
 // repeatFor is how long updates repeat a change, so that a lost datagram costs nothing.
@@ -125,7 +126,7 @@
 		}
 		if err != nil {
 			s.config.Log.Warn("peer_socket_read_failed", "error", err)
-			sleep(ctx, retryMin)
+			wait.For(ctx, retryMin)
 			continue
 		}
 		m, err := decodeMessage(buffer[:n])
@@ -147,7 +148,7 @@
 		case <-ctx.Done():
 		case <-ticker.C:
 		case <-s.regroup:
-			sleep(ctx, regroupPause)
+			wait.For(ctx, regroupPause)
 		}
 	}
 }
--- a/viewsync/read.go
+++ b/viewsync/read.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/internal/wait"
 	"github.com/cowslipward/cowslipward/platform"
 )
 
@@ -53,7 +54,7 @@
 		if s.fetchFromAnyPeer(ctx) {
 			return
 		}
-		sleep(ctx, startRetry+rand.N(startRetry))
+		wait.For(ctx, startRetry+rand.N(startRetry))
 		if s.revision() > 0 {
 			return // a peer sent its view
 		}
@@ -91,7 +92,7 @@
 	}
 	s.takeOver(begin)
 	s.push()
-	sleep(ctx, watchPause)
+	wait.For(ctx, watchPause)
 }
 
 // readChanges takes over what changed in the store. Where it no longer has the changes, all of it is read.
@@ -237,12 +238,12 @@
 		}
 		asked := s.config.Now()
 		if s.askReader() {
-			sleep(ctx, readerAnswer)
+			wait.For(ctx, readerAnswer)
 		}
 		if s.knownAt() < asked && s.untilRetry() <= 0 {
 			s.confirmNow(ctx)
 		}
-		sleep(ctx, confirmPause)
+		wait.For(ctx, confirmPause)
 	}
 }
 
@@ -265,12 +266,3 @@
 	defer s.mu.Unlock()
 	return s.known
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
