--- a/viewsync/message_internal_test.go
+++ b/viewsync/message_internal_test.go
@@ -92,7 +92,7 @@
 	part := func(number uint32, n uint8) *message {
 		return &message{Reader: reader, Number: number, Part: n, Parts: 3}
 	}
-	var p partial
+	var p partTracker
 	require.Equal(t, progressDone, p.take(&message{Reader: reader, Number: 1, Parts: 1}))
 	require.Equal(t, progressWaiting, p.take(part(2, 0)))
 	require.Equal(t, progressWaiting, p.take(part(2, 0)), "the other relay's copy")
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -69,7 +69,7 @@
 	retryAt   time.Duration  // when the store is called again after failures
 	members   *membership
 	updates   uint32 // number of the last update that this process read
-	parts     partial
+	parts     partTracker
 	needWhole bool // the next fetch is for all that holds
 	recent    []mark
 }
