A cold start that lasts longer than it said is news

The slack of a second for beats of cold targets held both ways. An entry whose cold start ends up to a second later was ignored, so that a target could get its full share that much too early. Later ends count beyond 100 ms now; earlier ones may wait.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -246,8 +246,9 @@
 	d.Advance(3)
 	require.Empty(t, d.Since(1, 3*time.Second))
 	require.Equal(t, uint64(3), d.Since(0, 3*time.Second)[0].Revision, "an older record does not replace it")
-	require.True(t, beat(4, 20*time.Second, 4*time.Second), "it turned cold again")
-	require.True(t, beat(5, 0, 5*time.Second), "it is warm")
+	require.True(t, beat(4, 4500*time.Millisecond, 3*time.Second), "it stays cold for longer than it said")
+	require.True(t, beat(5, 20*time.Second, 4*time.Second), "it turned cold again")
+	require.True(t, beat(6, 0, 5*time.Second), "it is warm")
 }
 
 func configWith(version int64, names ...string) *directory.Config {
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -122,9 +122,13 @@
 	}
 }
 
-// coldSlack is by how much the ends of a cold start may differ in entries that say the same: each is counted from the time
-// at which it was read.
-const coldSlack = time.Second
+// coldEarlier and coldLater are by how much the end of a cold start may move in an entry that says the same. Each end is
+// counted from the time at which the entry was read, which is late rather than early: an earlier end may wait, a later one
+// may not.
+const (
+	coldEarlier = time.Second
+	coldLater   = 100 * time.Millisecond
+)
 
 // saysSame reports whether a record says nothing new of the target. Entries of a cold target change with each beat, since
 // they name the time that is left.
@@ -133,8 +137,8 @@
 		return false
 	}
 	next := *r.Target
-	end := t.ColdUntil()
-	if t.ColdLeft > 0 && next.ColdLeft > 0 && (end-now-next.ColdLeft).Abs() <= coldSlack {
+	moved := now + next.ColdLeft - t.ColdUntil()
+	if t.ColdLeft > 0 && next.ColdLeft > 0 && -coldEarlier <= moved && moved <= coldLater {
 		next.ColdLeft = t.ColdLeft
 	}
 	next.Seed, next.Seen, next.Lapsed = t.Seed, t.Seen, t.Lapsed
