--- a/viewsync/read.go
+++ b/viewsync/read.go
@@ -34,8 +34,8 @@
 	s.start(ctx)
 	go s.runConfirm(ctx)
 	for ctx.Err() == nil {
-		if wait := s.untilRead(); wait > 0 {
-			s.waitForChange(ctx, wait)
+		if pause := s.untilRead(); pause > 0 {
+			s.waitForChange(ctx, pause)
 			continue
 		}
 		s.step(ctx)
@@ -96,8 +96,8 @@
 }
 
 // readChanges takes over what changed in the store. Where it no longer has the changes, all of it is read.
-func (s *Syncer) readChanges(ctx context.Context, wait time.Duration) error {
-	err := s.watch(ctx, wait)
+func (s *Syncer) readChanges(ctx context.Context, limit time.Duration) error {
+	err := s.watch(ctx, limit)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		s.config.Log.Warn("store_history_gone", "revision", s.revision())
 		return s.readWhole(ctx)
@@ -151,18 +151,18 @@
 }
 
 // watch waits for changes. A watch that ends without one confirms the view as of its end.
-func (s *Syncer) watch(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+func (s *Syncer) watch(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit+readTimeout)
 	defer cancel()
 	asked := s.config.Now()
-	answer, err := s.config.Store.Watch(ctx, s.revision(), wait)
+	answer, err := s.config.Store.Watch(ctx, s.revision(), limit)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if elapsed := s.config.Now() - asked; len(answer.Records) == 0 && answer.Foreign == 0 && elapsed >= wait {
-		asked += wait
+	if elapsed := s.config.Now() - asked; len(answer.Records) == 0 && answer.Foreign == 0 && elapsed >= limit {
+		asked += limit
 	}
 	s.noteAnswer(answer.Revision)
 	if s.config.Now() < s.graceTill {
