--- a/viewsync/viewsync_test.go
+++ b/viewsync/viewsync_test.go
@@ -159,6 +159,17 @@
 	return reader
 }
 
+// refuseCallsOf makes the store refuse a node and serve the others.
+func refuseCallsOf(s *platformtest.Store, n *node) {
+	refused := n.self.Addr().String()
+	s.SetRefuse(func(r *http.Request) int {
+		if host, _, _ := net.SplitHostPort(r.RemoteAddr); host == refused {
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	})
+}
+
 // startFleet runs nodes that find each other through the first.
 func startFleet(t *testing.T, s *platformtest.Store, count int) []*node {
 	var nodes []*node
@@ -205,14 +216,7 @@
 	putConfig(s, 1)
 	nodes := startFleet(t, s, 4)
 	requireVersion(t, 1, nodes...)
-	refused := awaitReader(t, nodes).self.Addr().String()
-	s.SetRefuse(func(r *http.Request) int {
-		host, _, _ := net.SplitHostPort(r.RemoteAddr)
-		if host == refused {
-			return http.StatusServiceUnavailable
-		}
-		return 0
-	})
+	refuseCallsOf(s, awaitReader(t, nodes))
 	putConfig(s, 2)
 	requireVersion(t, 2, nodes...)
 }
@@ -341,13 +345,7 @@
 	putTarget(s, 2)
 	old := startNode(t, s, 2)
 	require.Eventually(t, func() bool { return old.targets() == 2 }, eventually, 10*time.Millisecond)
-	s.SetRefuse(func(r *http.Request) int {
-		host, _, _ := net.SplitHostPort(r.RemoteAddr)
-		if host == old.self.Addr().String() {
-			return http.StatusServiceUnavailable
-		}
-		return 0
-	})
+	refuseCallsOf(s, old)
 	time.Sleep(time.Second)
 	s.RemoveTarget("i-1")
 	fresh := startNode(t, s, 1, old.self)
