--- a/viewsync/viewsync_test.go
+++ b/viewsync/viewsync_test.go
@@ -170,6 +170,15 @@
 	})
 }
 
+// keepConfirming makes each node ask for a confirmed view again and again, as a balancer does whose flows lost their targets.
+func keepConfirming(nodes []*node, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, n := range nodes {
+			n.syncer.Confirm()
+		}
+	}
+}
+
 // startFleet runs nodes that find each other through the first.
 func startFleet(t *testing.T, s *platformtest.Store, count int) []*node {
 	var nodes []*node
@@ -366,11 +375,7 @@
 	time.Sleep(2 * time.Second) // all of them notice
 	before := s.Calls()
 	const length = 3 * time.Second
-	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		for _, n := range nodes {
-			n.syncer.Confirm()
-		}
-	}
+	keepConfirming(nodes, length)
 	const callsPerSecond = 3 // of each process
 	require.LessOrEqual(t, s.Calls()-before, callsPerSecond*len(nodes)*int(length/time.Second))
 	s.SetRefuse(nil)
@@ -393,11 +398,7 @@
 	nodes := startFleet(t, s, processes)
 	requireVersion(t, 1, nodes...)
 	before := s.Calls()
-	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		for _, n := range nodes {
-			n.syncer.Confirm()
-		}
-	}
+	keepConfirming(nodes, length)
 	limit := (confirmations+watches)*int(length/time.Second) + takeOvers
 	require.LessOrEqual(t, s.Calls()-before, limit)
 	for _, n := range nodes {
