Requests wait beside the target, by the time that their callers have left

Change: a last offer to a busy target is accepted, and its request waits at the agent. The header with the time that the caller has left tells its age, against the time that most requests of the route begin with. Those that can be in time go first, by priority and the newest first; late ones keep no fresh ones out. A packet that acknowledges the target's SYN+ACK shows that the target holds the flow. A target that sends SYNs back gets one after a pause that doubles up to 200 ms. New flows wait as before where a cold target has had its rate.

--- a/flow/flow.go
+++ b/flow/flow.go
@@ -72,6 +72,10 @@
 	Copy     int  // of a SYN: 0 for the first, then the number of the repetition
 
 	Held time.Duration // how long the balancer kept the packet before it could decide
+
+	// Budget is how long the caller still waits for the answer to the request that begins in the data; 0 where that is not
+	// known.
+	Budget time.Duration
 }
 
 // Opens reports whether a caller's packet asks for a new flow.
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -57,9 +57,9 @@
 	gate      *targetgate.Gate
 	balancers []balancer
 	index     map[flow.Endpoint]int
-	parked    map[flow.Key]parked
+	parked    map[flow.Key]parked       // SYNs of flows that wait
+	requests  map[flow.Key]*heldRequest // requests that wait
 	searches  map[searchKey]passingSearch
-	objective map[flow.Endpoint]time.Duration // of the routes by which flows came
 	probing   bool
 	probed    time.Duration
 	armed     bool // the timer for flows that wait runs
@@ -79,19 +79,19 @@
 		return nil, fmt.Errorf("open agent: %w", err)
 	}
 	a := &Agent{
-		config:    c,
-		tag:       directory.Tag(c.Service),
-		target:    flow.EndpointOf(c.Target),
-		tunnel:    tunnel,
-		outbound:  outbound,
-		clock:     newClock(),
-		boot:      rand.Uint32N(1<<12-1) + 1,
-		gate:      targetgate.New(),
-		index:     make(map[flow.Endpoint]int),
-		parked:    make(map[flow.Key]parked),
-		searches:  make(map[searchKey]passingSearch),
-		objective: make(map[flow.Endpoint]time.Duration),
-		closed:    make(chan struct{}),
+		config:   c,
+		tag:      directory.Tag(c.Service),
+		target:   flow.EndpointOf(c.Target),
+		tunnel:   tunnel,
+		outbound: outbound,
+		clock:    newClock(),
+		boot:     rand.Uint32N(1<<12-1) + 1,
+		gate:     targetgate.New(),
+		index:    make(map[flow.Endpoint]int),
+		parked:   make(map[flow.Key]parked),
+		requests: make(map[flow.Key]*heldRequest),
+		searches: make(map[searchKey]passingSearch),
+		closed:   make(chan struct{}),
 	}
 	a.timerOut = a.newOutboxes()
 	return a, nil
@@ -169,7 +169,6 @@
 // offer decides about a new flow.
 func (a *Agent) offer(out *agentBoxes, h *encap.Header, p *flow.Packet, packet []byte, sender int, now time.Duration) {
 	key := p.FromCaller()
-	a.noteObjective(key.Service, time.Duration(h.Aim)*time.Millisecond)
 	verdict, reason := a.gate.Offer(&targetgate.Offer{
 		Key:      key,
 		Copy:     p.Copy,
@@ -212,11 +211,8 @@
 		a.rememberSearch(searchKey{flow: key, balancer: sender}, h, packet, now)
 		a.gate.Asked(now)
 	}
-	known, begins := a.gate.FromCaller(key, p, asker, now)
-	if begins {
-		a.logFlow("request_forwarded", key, "request", platform.RequestID(platform.Payload(packet)), "load", a.gate.Load(),
-			"balancer", a.balancers[sender].address)
-	}
+	p.Budget = platform.RequestBudget(platform.Payload(packet))
+	known, step := a.gate.FromCaller(key, p, asker, now)
 	if h.Searches {
 		a.logFlow("flow_searched", key, "request", platform.RequestID(platform.Payload(packet)), "known", known,
 			"attempt", h.Attempt, "balancer", asker)
@@ -224,6 +220,14 @@
 	if known && h.Searches {
 		a.found(out, asker, key, now)
 	}
+	if step == targetgate.StepHold && a.keepRequest(key, p, packet, sender, h.Attempt, now) {
+		delete(a.searches, searchKey{flow: key, balancer: sender})
+		return
+	}
+	if step == targetgate.StepBegin {
+		a.logFlow("request_forwarded", key, "request", platform.RequestID(platform.Payload(packet)), "load", a.gate.Load(),
+			"balancer", a.balancers[sender].address)
+	}
 	a.toTarget(out, packet, a.token(sender, h.Attempt))
 }
 
@@ -264,6 +268,9 @@
 	} else {
 		key := p.FromTarget()
 		asker, took := a.gate.FromTarget(key, &p, now)
+		if p.Reset {
+			delete(a.requests, key)
+		}
 		if took > 0 {
 			a.answered(key, platform.AnswerStatus(platform.Payload(datagram)), took)
 		}
--- a/forward/agent_outcomes.go
+++ b/forward/agent_outcomes.go
@@ -7,21 +7,6 @@
 	"github.com/cowslipward/cowslipward/packetstatus"
 )
 
-// maxObjectives bounds the routes whose objectives an agent remembers. It forgets all of them beyond that; the next new
-// flows bring them again.
-const maxObjectives = 256
-
-// noteObjective remembers the time within which an answer by a route is in time. Zero is no objective.
-func (a *Agent) noteObjective(route flow.Endpoint, objective time.Duration) {
-	if objective == 0 {
-		return
-	}
-	if len(a.objective) >= maxObjectives {
-		clear(a.objective)
-	}
-	a.objective[route] = objective
-}
-
 // firstServerError is the lowest status that tells an error of the target.
 const firstServerError = 500
 
@@ -29,7 +14,7 @@
 func (a *Agent) answered(key flow.Key, status int, took time.Duration) {
 	answerTime.Update(took.Seconds())
 	answers[status/100].Inc()
-	objective, known := a.objective[key.Service]
+	objective, known := a.gate.Objective(key.Service)
 	a.config.Outcomes.Record(a.config.Service, status < firstServerError && (!known || took <= objective))
 	if status >= firstServerError || took > slowAnswer {
 		a.logFlow("request_answered", key, "status", status, "took", took, "load", a.gate.Load())
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -192,6 +192,27 @@
 	b.requireClean()
 }
 
+// Pattern: more callers than the target has slots, and routers that hand the request of a flow to another balancer than its
+// SYN. Requests wait beside the target, and all of them are served.
+func TestRequestsThatWaitAreServed(t *testing.T) {
+	b := newBed(t, 2, 1)
+	var flows []*platformtest.Flow
+	for range 40 {
+		flows = append(flows, b.open())
+	}
+	b.setPick(func(flow.Key) int { return 1 })
+	errs := make([]error, len(flows))
+	var group sync.WaitGroup
+	for n, f := range flows {
+		group.Go(func() { errs[n] = b.request(f, fmt.Sprintf("r-%d", n)) })
+	}
+	group.Wait()
+	for _, err := range errs {
+		require.NoError(t, err)
+	}
+	b.requireClean()
+}
+
 // Pattern: a balancer joins, and the routers' hash by mod moves nearly all flows. No request may notice.
 func TestOpenFlowsMoveToABalancerThatDoesNotKnowThem(t *testing.T) {
 	b := newBed(t, 2, 7)
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cowslipward/cowslipward/encap"
 )
 
 const (
@@ -56,7 +58,19 @@
 	}
 	if a.gate.Down() {
 		a.passSearchesOn(now)
+		a.returnRequests(now)
+	}
+}
+
+// returnRequests sends the packets of requests that wait for a target which does not run back to their balancers.
+func (a *Agent) returnRequests(now time.Duration) {
+	for _, held := range a.requests {
+		for _, packet := range held.packets {
+			a.giveBack(a.timerOut, a.balancers[held.balancer].address, held.attempt, encap.ReasonSilent, packet, now)
+		}
 	}
+	a.timerOut.flush()
+	clear(a.requests)
 }
 
 // passSearchesOn sends the packets of searches that wait for a target which does not run to the next agents.
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -21,6 +21,9 @@
 	workLimit = 8 * time.Second
 	// attemptLimit is the age of a SYN after which its caller has given the attempt up.
 	attemptLimit = 1350 * time.Millisecond
+	// backlogLimit bounds the time in which the target would work off all that waits. It is below the time that callers
+	// give a request.
+	backlogLimit = 2500 * time.Millisecond
 	// silenceLimit is how long a target may leave a SYN without an answer before it counts as silent.
 	silenceLimit = 150 * time.Millisecond
 	// suspectAfter is how long a target may say nothing after a packet that it answers at once, and suspectWork after a
@@ -29,6 +32,10 @@
 	suspectWork  = 350 * time.Millisecond
 	// probePeriod is how often a silent target is offered a flow all the same.
 	probePeriod = 250 * time.Millisecond
+	// refusedPause is how long a target that sent a new flow back gets no other. It doubles up to refusedPauseMax while the
+	// target goes on to do so, as one that starts or stops does.
+	refusedPause    = 10 * time.Millisecond
+	refusedPauseMax = 200 * time.Millisecond
 	// firstWork stands for the time of a request until one has been seen.
 	firstWork = 50 * time.Millisecond
 	// workWeight is the weight of a new sample in the mean time of a request.
@@ -87,6 +94,7 @@
 const (
 	requestNone    request = iota
 	requestOpening         // accepted, the first request is on its way
+	requestQueued          // the request waits for a slot
 	requestWork            // the target works on a request
 )
 
@@ -94,7 +102,9 @@
 type state struct {
 	phase   request
 	since   time.Duration
-	known   bool          // the target sent a packet of the flow
+	known   bool // the target sent a packet of the flow, its SYN+ACK apart
+	offered bool // the target sent its SYN+ACK, with number synSeq
+	synSeq  uint32
 	heard   time.Duration // when the target last did
 	seq     uint32
 	seqSeen bool
@@ -106,7 +116,9 @@
 	flows   *flow.Table[*state]
 	opening []opening // accepted flows without a request, oldest first
 	busy    map[flow.Key]*state
-	waiting waitList
+	waiting waitList // new flows
+	queue   waitList // requests of flows that the target has
+	routes  map[flow.Endpoint]*route
 	slots   int
 	work    time.Duration // mean time of a request
 	cold    []time.Duration
@@ -115,6 +127,8 @@
 	heard   time.Duration // when the target was last heard of
 	offered time.Duration // when the target was last given a new flow
 	down    bool          // a probe showed that the target does not run
+	pause   time.Duration // between the new flows of a target that sends them back; 0: it takes them
+	closed  time.Duration // until when such a target gets none
 	started time.Duration // when the target showed that it had started anew
 	lost    int           // requests that ended without an answer since the last call of TakeLost
 }
@@ -127,14 +141,28 @@
 
 // New returns a gate that knows of no flows.
 func New() *Gate {
-	return &Gate{flows: flow.NewTable[*state](flowIdle, maxFlows), busy: make(map[flow.Key]*state), work: firstWork}
+	return &Gate{
+		flows:  flow.NewTable[*state](flowIdle, maxFlows),
+		busy:   make(map[flow.Key]*state),
+		routes: make(map[flow.Endpoint]*route),
+		work:   firstWork,
+	}
 }
 
 // Load returns the requests in progress, accepted flows without a request included.
 func (g *Gate) Load() int { return len(g.busy) + len(g.opening) }
 
-// Waiting returns the number of new flows that wait for a slot.
-func (g *Gate) Waiting() int { return len(g.waiting.items) }
+// Waiting returns the number of new flows and of requests that wait for a slot.
+func (g *Gate) Waiting() int { return len(g.waiting.items) + len(g.queue.items) }
+
+// Objective returns the time within which an answer by a route is in time. It reports false where it is not known.
+func (g *Gate) Objective(service flow.Endpoint) (aim time.Duration, known bool) {
+	r := g.routes[service]
+	if r == nil || r.class.aim == 0 {
+		return 0, false
+	}
+	return r.class.aim, true
+}
 
 // Slots returns the slots of the target as the last offer named them.
 func (g *Gate) Slots() int { return g.slots }
@@ -142,20 +170,55 @@
 // Offer decides about a new flow.
 func (g *Gate) Offer(o *Offer, now time.Duration) (Verdict, encap.Reason) {
 	g.slots = max(1, o.Slots)
+	g.noteRoute(o)
 	g.Expire(now)
 	if s, held := g.flows.Get(o.Key, now); held && s.phase != requestNone {
 		return Accept, encap.ReasonNone // a copy of a SYN that the target has
 	}
 	reason := g.obstacle(o, now)
-	if reason == encap.ReasonNone {
-		g.accept(o, now)
-		return Accept, encap.ReasonNone
-	}
-	if o.Last && reason != encap.ReasonSilent && g.canWait(o, now) {
-		g.waiting.put(o, now)
+	switch {
+	case reason == encap.ReasonNone:
+		g.accept(o.Key, now)
+		return Accept, reason
+	case !o.Last || reason == encap.ReasonSilent || reason == encap.ReasonRefused || !g.canWait(o, now):
+		return Refuse, reason
+	case reason == encap.ReasonBusy && g.coldRoom(o.ColdRate, now):
+		g.accept(o.Key, now) // its request says how long it may wait, a SYN does not
+		return Accept, reason
+	default:
+		waits := o.waiter(now)
+		g.waiting.put(&waits)
 		return Wait, reason
 	}
-	return Refuse, reason
+}
+
+// waiter returns the entry of a new flow among those that wait.
+func (o *Offer) waiter(now time.Duration) waiter {
+	sent := now - o.age()
+	return waiter{
+		key:      o.Key,
+		class:    class{priority: o.Priority, aim: o.Aim},
+		came:     sent,
+		until:    sent + attemptLimit,
+		coldRate: o.ColdRate,
+	}
+}
+
+// noteRoute remembers what an offer says of its route.
+func (g *Gate) noteRoute(o *Offer) {
+	g.routeOf(o.Key.Service).class = class{priority: o.Priority, aim: o.Aim}
+}
+
+func (g *Gate) routeOf(service flow.Endpoint) *route {
+	if r := g.routes[service]; r != nil {
+		return r
+	}
+	if len(g.routes) >= maxRoutes {
+		clear(g.routes)
+	}
+	fresh := &route{}
+	g.routes[service] = fresh
+	return fresh
 }
 
 // obstacle returns why the target cannot take a flow now.
@@ -163,7 +226,9 @@
 	switch {
 	case g.down, g.Silent(now) && now-g.offered < probePeriod:
 		return encap.ReasonSilent
-	case g.Load() >= g.limit() || len(g.waiting.items) > 0:
+	case now < g.closed:
+		return encap.ReasonRefused
+	case g.Load() >= g.limit() || g.Waiting() > 0:
 		return encap.ReasonBusy
 	case !g.coldRoom(o.ColdRate, now):
 		return encap.ReasonCold
@@ -183,16 +248,28 @@
 	return rate <= 0 || len(g.cold) < max(1, int(rate))
 }
 
-// canWait reports whether the flow would get a slot before its caller gives the attempt up.
+// canWait reports whether a flow that waits would be served before its caller gives up. One that can still be answered in
+// time is served before those that cannot, so that only others of its kind are ahead of it.
 func (g *Gate) canWait(o *Offer, now time.Duration) bool {
-	ahead := time.Duration(len(g.waiting.items) + 1)
-	return o.age()+ahead*g.work/time.Duration(g.slots) < attemptLimit
+	next := o.waiter(now)
+	all := g.Waiting()
+	ahead := all
+	if !next.isLate(now, g.work) {
+		ahead = g.waiting.inTime(now, g.work) + g.queue.inTime(now, g.work)
+	}
+	return o.age()+g.workOff(ahead+1) < attemptLimit && g.workOff(all+1) < backlogLimit
 }
 
-func (g *Gate) accept(o *Offer, now time.Duration) {
+// workOff returns the time in which the target works off so many requests beside those that it has.
+func (g *Gate) workOff(requests int) time.Duration {
+	requests += max(0, g.Load()-g.limit())
+	return time.Duration(requests) * g.work / time.Duration(g.slots)
+}
+
+func (g *Gate) accept(key flow.Key, now time.Duration) {
 	s := &state{phase: requestOpening, since: now}
-	g.flows.Put(o.Key, s, now)
-	g.opening = append(g.opening, opening{key: o.Key, state: s, at: now})
+	g.flows.Put(key, s, now)
+	g.opening = append(g.opening, opening{key: key, state: s, at: now})
 	g.cold = append(g.cold, now)
 	g.Asked(now)
 	g.offered = now
@@ -221,22 +298,23 @@
 	for len(g.cold) > 0 && now-g.cold[0] >= time.Second {
 		g.cold = g.cold[1:]
 	}
+	if g.Waiting() > 0 {
+		g.expireWaiting(now)
+	}
 }
 
-// Next returns a flow that waited and may go to the target now.
+// Next returns a new flow that waited and may go to the target now.
 func (g *Gate) Next(now time.Duration) (flow.Key, bool) {
 	g.Expire(now)
-	g.waiting.expire(now)
-	if len(g.waiting.items) == 0 || g.Load() >= g.limit() {
+	if len(g.waiting.items) == 0 || g.Load() >= g.limit() || len(g.queue.items) > 0 {
 		return flow.Key{}, false
 	}
 	best := g.waiting.best(now, g.work)
-	o := &g.waiting.items[best].offer
-	if !g.coldRoom(o.ColdRate, now) {
+	next := g.waiting.items[best]
+	if !g.coldRoom(next.coldRate, now) {
 		return flow.Key{}, false
 	}
-	offer := *o
 	g.waiting.remove(best)
-	g.accept(&offer, now)
-	return offer.Key, true
+	g.accept(next.key, now)
+	return next.key, true
 }
--- a/targetgate/health.go
+++ b/targetgate/health.go
@@ -22,6 +22,7 @@
 	for key, s := range g.busy {
 		g.lose(key, s)
 	}
+	g.dropRequests(now)
 	g.owedFor = 0
 	g.owed = now
 }
--- a/targetgate/passing.go
+++ b/targetgate/passing.go
@@ -6,31 +6,128 @@
 	"github.com/cowslipward/cowslipward/flow"
 )
 
+// Step says what happens to a packet of an open flow.
+type Step uint8
+
+// Steps of a packet.
+const (
+	StepPass  Step = iota // goes to the target
+	StepBegin             // goes to the target and begins a request
+	StepHold              // waits until NextRequest names its flow
+)
+
 // FromCaller notes a packet of an open flow on its way to the target. A balancer that searches the flow is told once the
-// target shows that it holds it. FromCaller reports whether that is known already, and whether a request begins.
-func (g *Gate) FromCaller(key flow.Key, p *flow.Packet, asker flow.Endpoint, now time.Duration) (known, begins bool) {
+// target shows that it holds it. FromCaller reports whether that is known already.
+func (g *Gate) FromCaller(key flow.Key, p *flow.Packet, asker flow.Endpoint, now time.Duration) (known bool, step Step) {
 	s, held := g.flows.Get(key, now)
 	if !held {
 		s = &state{}
 		g.flows.Put(key, s, now)
 	}
-	if asker.IsValid() && !s.known {
+	known = s.isHeld(p)
+	if asker.IsValid() && !known {
 		s.asker = asker
 	}
 	switch {
 	case p.Reset:
 		g.end(key, s)
-	case asker.IsValid() && !s.known:
+	case asker.IsValid() && !known:
 		// A search asks all targets: the flow is work only where the target holds it.
 	case p.DataLen > 0 && g.isNew(s, p):
-		begins = s.phase != requestWork
-		s.phase, s.since = requestWork, now
-		g.busy[key] = s
-		if g.owedFor == 0 {
-			g.owedFor = now
+		return known, g.data(key, s, p, now)
+	case s.phase == requestQueued && (p.DataLen > 0 || p.Fin):
+		return known, StepHold
+	}
+	return known, StepPass
+}
+
+// isHeld reports whether the target holds the flow of a caller's packet: it has shown so, or the packet acknowledges its
+// SYN+ACK. Routers may have handed the SYN to another balancer, which knows the target.
+func (s *state) isHeld(p *flow.Packet) bool {
+	answersSyn := s.offered && p.AckFlag && p.Ack-s.synSeq <= 1
+	return s.known || s.phase == requestQueued || answersSyn
+}
+
+// data decides about new data of a caller.
+func (g *Gate) data(key flow.Key, s *state, p *flow.Packet, now time.Duration) Step {
+	switch s.phase {
+	case requestQueued:
+		return StepHold
+	case requestWork:
+		s.since = now
+		return StepPass
+	}
+	next := g.request(key, p.Budget, now)
+	if g.hasSlot() {
+		g.begin(key, s, now)
+		return StepBegin
+	}
+	s.phase, s.since = requestQueued, now
+	g.queue.put(&next)
+	return StepHold
+}
+
+// hasSlot reports whether the target may work on one more request now.
+func (g *Gate) hasSlot() bool {
+	return g.slots == 0 || (len(g.queue.items) == 0 && len(g.busy) < g.limit())
+}
+
+func (g *Gate) begin(key flow.Key, s *state, now time.Duration) {
+	s.phase, s.since = requestWork, now
+	g.busy[key] = s
+	if g.owedFor == 0 {
+		g.owedFor = now
+	}
+}
+
+// request returns the entry of a request among those that wait. Its caller has so much time left; zero is not known.
+func (g *Gate) request(key flow.Key, budget, now time.Duration) waiter {
+	r := g.routeOf(key.Service)
+	next := waiter{key: key, class: r.class, came: now, until: now + workLimit}
+	if budget > 0 {
+		r.usual.note(budget)
+		next.until, next.usual = now+budget, &r.usual
+	}
+	return next
+}
+
+// NextRequest returns the flow of a request that waited and may go to the target now.
+func (g *Gate) NextRequest(now time.Duration) (flow.Key, bool) {
+	g.Expire(now)
+	for len(g.queue.items) > 0 && len(g.busy) < g.limit() {
+		best := g.queue.best(now, g.work)
+		key := g.queue.items[best].key
+		g.queue.remove(best)
+		if s, held := g.flows.Get(key, now); held && s.phase == requestQueued {
+			g.begin(key, s, now)
+			return key, true
 		}
 	}
-	return s.known, begins
+	return flow.Key{}, false
+}
+
+// expireWaiting drops the new flows and the requests whose callers have given up.
+func (g *Gate) expireWaiting(now time.Duration) {
+	g.waiting.expire(now)
+	for _, key := range g.queue.expire(now) {
+		g.dropRequest(key, now)
+	}
+}
+
+// dropRequests drops all requests that wait.
+func (g *Gate) dropRequests(now time.Duration) {
+	for i := range g.queue.items {
+		g.dropRequest(g.queue.items[i].key, now)
+	}
+	g.queue.items = nil
+}
+
+// dropRequest notes that a request which waited will not be run.
+func (g *Gate) dropRequest(key flow.Key, now time.Duration) {
+	if s, held := g.flows.Get(key, now); held && s.phase == requestQueued {
+		s.phase = requestNone
+		g.lost++
+	}
 }
 
 // isNew reports whether the packet's data was not seen before, and remembers it.
@@ -54,6 +151,10 @@
 	}
 	s.known = s.known || !p.Syn
 	s.heard = now
+	if p.Syn {
+		g.pause, g.closed = 0, 0
+		s.offered, s.synSeq = true, p.Seq
+	}
 	asker, s.asker = s.asker, flow.Endpoint{}
 	if !s.known {
 		s.asker, asker = asker, flow.Endpoint{}
@@ -87,6 +188,9 @@
 }
 
 func (g *Gate) end(key flow.Key, s *state) {
+	if s.phase == requestQueued {
+		g.queue.forget(key)
+	}
 	s.phase = requestNone
 	delete(g.busy, key)
 }
@@ -98,6 +202,10 @@
 	if !held {
 		return
 	}
+	if s.phase == requestOpening && !s.known {
+		g.pause = min(max(refusedPause, 2*g.pause), refusedPauseMax)
+		g.closed = now + g.pause
+	}
 	g.lose(key, s)
 	g.flows.Delete(key)
 	if s.known && s.heard > g.started {
--- a/targetgate/status.go
+++ b/targetgate/status.go
@@ -35,7 +35,7 @@
 	var all []FlowStatus
 	for i := range g.waiting.items {
 		w := &g.waiting.items[i]
-		all = append(all, FlowStatus{Key: w.offer.Key, Phase: PhaseWaiting, Age: now - w.born})
+		all = append(all, FlowStatus{Key: w.key, Phase: PhaseWaiting, Age: now - w.came})
 	}
 	g.flows.Each(func(key flow.Key, s *state) bool {
 		all = append(all, s.status(key, now))
@@ -49,6 +49,8 @@
 	switch {
 	case s.phase == requestWork:
 		status.Phase, status.Age = PhaseWorking, now-s.since
+	case s.phase == requestQueued:
+		status.Phase, status.Age = PhaseWaiting, now-s.since
 	case s.phase == requestOpening:
 		status.Phase, status.Age = PhaseOpening, now-s.since
 	case !s.known:
--- a/targetgate/wait.go
+++ b/targetgate/wait.go
@@ -3,36 +3,64 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cowslipward/cowslipward/flow"
 )
 
-// waiter is a new flow that waits for a slot.
+// class is what the route of a request says of it.
+type class struct {
+	priority uint8         // 0 is the highest
+	aim      time.Duration // within which an answer is in time; 0: none
+}
+
+// waiter is a new flow or a request that waits for its turn.
 type waiter struct {
-	offer Offer
-	born  time.Duration // steady time at which its caller sent the first SYN, as far as the copy tells
+	key      flow.Key
+	class    class
+	came     time.Duration // steady time at which it came, or for a new flow at which its first SYN was sent
+	until    time.Duration // steady time at which its caller gives up
+	usual    *usualBudget  // of a request: by which its age is known; nil: it has none
+	coldRate float64       // of the offer of a new flow
 }
 
-// waitList holds the new flows that wait at one target.
+// asked returns the steady time at which the caller first asked, as far as is known.
+func (i *waiter) asked() time.Duration {
+	if i.usual == nil {
+		return i.came
+	}
+	return i.came - i.usual.age(i.until-i.came)
+}
+
+// waitList holds what waits at one target.
 type waitList struct {
 	items []waiter
 }
 
-// put adds a flow. A copy of a SYN that waits already takes its place.
-func (w *waitList) put(o *Offer, now time.Duration) {
+// put adds a waiter. One of the same flow that waits already gives it its place.
+func (w *waitList) put(next *waiter) {
 	for i := range w.items {
-		if w.items[i].offer.Key == o.Key {
-			w.items[i].offer = *o
+		if w.items[i].key == next.key {
+			w.items[i] = *next
 			return
 		}
 	}
-	w.items = append(w.items, waiter{offer: *o, born: now - o.age()})
+	w.items = append(w.items, *next)
 }
 
-// expire drops flows whose caller has given the attempt up.
-func (w *waitList) expire(now time.Duration) {
-	w.items = slices.DeleteFunc(w.items, func(i waiter) bool { return now-i.born > attemptLimit })
+// expire drops those whose callers have given up, and returns their flows.
+func (w *waitList) expire(now time.Duration) []flow.Key {
+	var dropped []flow.Key
+	w.items = slices.DeleteFunc(w.items, func(i waiter) bool {
+		if now <= i.until {
+			return false
+		}
+		dropped = append(dropped, i.key)
+		return true
+	})
+	return dropped
 }
 
-// best returns the index of the flow that goes next: first those that can still be answered in time, by priority and
+// best returns the index of the one that goes next: first those that can still be answered in time, by priority and
 // then the newest, since in an overload the oldest of them would hardly make it and make the next one late too; then the
 // others by priority and age.
 func (w *waitList) best(now, work time.Duration) int {
@@ -50,20 +78,36 @@
 	switch {
 	case late != otherLate:
 		return otherLate
-	case i.offer.Priority != other.offer.Priority:
-		return i.offer.Priority < other.offer.Priority
+	case i.class.priority != other.class.priority:
+		return i.class.priority < other.class.priority
 	case late:
-		return i.born < other.born
+		return i.asked() < other.asked()
 	default:
-		return i.born > other.born
+		return i.asked() > other.asked()
 	}
 }
 
 func (i *waiter) isLate(now, work time.Duration) bool {
-	return i.offer.Aim > 0 && now-i.born+work > i.offer.Aim
+	return i.class.aim > 0 && now-i.asked()+work > i.class.aim
+}
+
+// inTime returns how many can still be answered in time.
+func (w *waitList) inTime(now, work time.Duration) int {
+	count := 0
+	for i := range w.items {
+		if !w.items[i].isLate(now, work) {
+			count++
+		}
+	}
+	return count
 }
 
 func (w *waitList) remove(i int) {
 	w.items[i] = w.items[len(w.items)-1]
 	w.items = w.items[:len(w.items)-1]
 }
+
+// forget removes the waiter of a flow, if there is one.
+func (w *waitList) forget(key flow.Key) {
+	w.items = slices.DeleteFunc(w.items, func(i waiter) bool { return i.key == key })
+}
