Flows keep away from targets that refuse them, and wait at one that they asked

Cause: a target that refused a new flow for another reason than its slots had no work and stayed the best choice. Where all targets are full, the least busy one of all was chosen by reports of up to 200 ms ago, so that queues were uneven: 50 requests at one target, none that could be in time at others.

Change: such a target is not offered a flow for 250 ms, nor does one wait there. A flow waits at the least busy of the targets that it asked, whose answers say what they have now.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -42,7 +42,7 @@
 		e.target = t
 		return d.offer(e, false, cause, p, now)
 	}
-	t = d.chooser.LeastBusy(d.view, e.service, key.Hash(), now)
+	t = d.chooser.LeastBusy(d.view, e.service, key.Hash(), e.tried, now)
 	if t == nil {
 		return d.refuse(key, e, CauseNoTarget, p, now)
 	}
@@ -90,8 +90,11 @@
 	if e.waiting {
 		return d.overloaded(key, e, p, now)
 	}
-	if h.Reason == encap.ReasonBusy {
+	switch h.Reason {
+	case encap.ReasonBusy:
 		d.loads.Full(ip, now)
+	case encap.ReasonRefused, encap.ReasonOtherService, encap.ReasonSilent:
+		d.loads.Refused(ip, now)
 	}
 	e.tried = append(e.tried, placement.Mark(e.target))
 	return d.offerNext(key, e, CauseNext, p, now)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,6 +25,11 @@
 	silenceLimit = 700 * time.Millisecond
 	// fullLife is how long a target that refused a new flow for lack of slots is not offered another.
 	fullLife = 30 * time.Millisecond
+	// refusedLife is how long a target that takes no new flows at all is not offered another. It has no work, so that it
+	// would be offered each one first.
+	refusedLife = 250 * time.Millisecond
+	// refusedPenalty puts such a target last where a flow has to wait.
+	refusedPenalty = 4.0
 )
 
 // load is what a balancer knows of the work of one target.
@@ -36,6 +41,7 @@
 	reportedAt time.Duration
 	silent     bool
 	fullAt     time.Duration // when it refused a new flow for lack of slots; 0: never
+	refusedAt  time.Duration // when it refused a new flow for another reason; 0: never
 	owed       time.Duration // steady time of the first packet that the agent has not been heard of since; 0: none
 }
 
@@ -90,10 +96,22 @@
 // Full notes that the target on the VM refused a new flow for lack of slots.
 func (l *Loads) Full(ip [4]byte, now time.Duration) { l.of(ip).fullAt = now }
 
-// isFull reports whether the target refused a new flow a moment ago.
+// Refused notes that the target on the VM refused a new flow for a reason that holds for the next one too: it starts, stops,
+// or belongs to another service.
+func (l *Loads) Refused(ip [4]byte, now time.Duration) { l.of(ip).refusedAt = now }
+
+// isFull reports whether the target would not take a new flow at once, as far as is known.
 func (l *Loads) isFull(ip [4]byte, now time.Duration) bool {
 	held := l.byIP[ip]
-	return held != nil && held.fullAt != 0 && now-held.fullAt < fullLife
+	if held == nil {
+		return false
+	}
+	return (held.fullAt != 0 && now-held.fullAt < fullLife) || held.refuses(now)
+}
+
+// refuses reports whether the target refused a new flow lately, not for lack of slots.
+func (l *load) refuses(now time.Duration) bool {
+	return l.refusedAt != 0 && now-l.refusedAt < refusedLife
 }
 
 // Heard reports whether the agent of the VM was heard of within the limit of silence.
@@ -119,7 +137,11 @@
 		return penalty(t, false)
 	}
 	work := held.mean + held.recentFlows(now) + float64(held.waiting)
-	return work/float64(t.Slots) + penalty(t, l.Silent(t.Address.IP, now))
+	cost := work/float64(t.Slots) + penalty(t, l.Silent(t.Address.IP, now))
+	if held.refuses(now) {
+		cost += refusedPenalty
+	}
+	return cost
 }
 
 // Silent reports whether the target on the VM, or its agent, does not answer.
@@ -182,12 +204,22 @@
 	return best
 }
 
-// LeastBusy returns the eligible target with the least work, full or not.
-func (c *Chooser) LeastBusy(view *directory.View, service string, hash uint64, now time.Duration) *directory.Target {
+// LeastBusy returns the eligible target with the least work, full or not. Those that refused the flow have just said how
+// much they have, so that one of them is chosen where there are any.
+func (c *Chooser) LeastBusy(view *directory.View, service string, hash uint64, tried []uint64, now time.Duration) *directory.Target {
+	order := c.order.Of(view.Targets(service), c.Home, hash)
+	asked := func(t *directory.Target) bool { return wasTried(tried, t) }
+	if t := c.leastBusy(view, order, asked, now); t != nil {
+		return t
+	}
+	return c.leastBusy(view, order, func(*directory.Target) bool { return true }, now)
+}
+
+func (c *Chooser) leastBusy(view *directory.View, order []*directory.Target, counts func(*directory.Target) bool, now time.Duration) *directory.Target {
 	var best *directory.Target
 	var least float64
-	for _, t := range c.order.Of(view.Targets(service), c.Home, hash) {
-		if !Eligible(view, t) {
+	for _, t := range order {
+		if !Eligible(view, t) || !counts(t) {
 			continue
 		}
 		if cost := c.cost(t, now); best == nil || cost < least {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -121,10 +121,43 @@
 	loads.Full(ip(0), time.Second)
 	loads.Full(ip(1), time.Second)
 	require.Nil(t, c.Choose(view, "bench", 1, nil, time.Second+10*ms))
-	require.NotNil(t, c.LeastBusy(view, "bench", 1, time.Second+10*ms), "a flow may wait at a full target")
+	require.NotNil(t, c.LeastBusy(view, "bench", 1, nil, time.Second+10*ms), "a flow may wait at a full target")
 	require.NotNil(t, c.Choose(view, "bench", 1, nil, time.Second+50*ms))
 }
 
+// Pattern: a target that starts or stops refuses each new flow. It has no work, so that it would be the best one for each.
+func TestTargetThatRefusesIsNotOfferedAFlowForAWhile(t *testing.T) {
+	view := viewOf(3, 9, "a")
+	c, loads := chooser("a")
+	loads.Reported(ip(1), 5, 0, false, time.Second)
+	loads.Reported(ip(2), 5, 0, false, time.Second)
+	require.Equal(t, "i-0", c.Choose(view, "bench", 1, nil, time.Second).ID)
+	loads.Refused(ip(0), time.Second)
+	for key := range uint64(20) {
+		require.NotEqual(t, "i-0", c.Choose(view, "bench", key, nil, time.Second+200*ms).ID)
+		require.NotEqual(t, "i-0", c.LeastBusy(view, "bench", key, nil, time.Second+200*ms).ID, "nor does a flow wait there")
+	}
+	require.Equal(t, "i-0", c.Choose(view, "bench", 1, nil, time.Second+300*ms).ID)
+}
+
+// Pattern: all targets are full, and what is known of most of them is a report of 200 ms ago. A flow waits at one of those
+// that it asked, which have just said what waits there.
+func TestFlowWaitsAtATargetThatItAsked(t *testing.T) {
+	view := viewOf(9, 4, "a")
+	c, loads := chooser("a")
+	var tried []uint64
+	for n := range 9 {
+		loads.Reported(ip(n), 4, 0, false, time.Second)
+	}
+	for n := range 3 {
+		loads.Reported(ip(n), 4, 9-n, false, time.Second+200*ms)
+		tried = append(tried, placement.Mark(view.TargetOn(ip(n))))
+	}
+	for key := range uint64(20) {
+		require.Equal(t, "i-2", c.LeastBusy(view, "bench", key, tried, time.Second+200*ms).ID)
+	}
+}
+
 // maxImbalance is the aim of the brief: highest over mean work in progress over targets at 70% load.
 const maxImbalance = 1.10
 
