Targets that fail requests get fewer new flows

Change: the agent sees how requests end (status 500 and above, 429, resets, callers that give up, no answer for a second) and reports the share that failed, newer ones counting most. A third of failures weighs as much as all slots at work, so that such a target gets what others have no room for; shares below a tenth and failures of all targets change nothing. The share halves in 2 s at either end, so that the target is tried again. Reports have a byte more only where the share is not zero. A request without an answer for a second takes no slot from requests that wait.

Ruled out: ejection. A share of the pool would have to bound it, and the cost of placement does so by itself.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -105,6 +105,7 @@
 // Reported takes over what an agent says of its target.
 func (d *Dispatcher) Reported(ip [4]byte, h *encap.Header, now time.Duration) {
 	d.loads.Reported(ip, int(h.Load), int(h.Waiting), h.Silent, now)
+	d.loads.Failing(ip, float64(h.Failing)/100, now)
 }
 
 // FromCaller decides about a caller's packet.
--- a/encap/encap.go
+++ b/encap/encap.go
@@ -9,15 +9,15 @@
 	"time"
 )
 
-// Bytes is the length of the header without its path, ReportBytes that of a report's, and MaxPath the longest path.
+// Bytes is the length of the header without its path, ReportBytes that of the shortest report, and MaxPath the longest path.
 const (
-	Bytes       = 26
+	Bytes       = 27
 	ReportBytes = 5
 	MaxPath     = 15
 )
 
 // magic begins each header; its last half is the version of the format.
-const magic = 0xc102
+const magic = 0xc103
 
 // Kind says what a datagram is.
 type Kind uint8
@@ -28,8 +28,8 @@
 	KindForward Kind = iota + 1
 	// KindReturn carries a packet back to the balancer, since the target does not take it.
 	KindReturn
-	// KindReport has no packet: an agent tells a balancer of its target's work. Its header is short and holds Load, Waiting
-	// and Silent only, since reports are most of what large fleets send.
+	// KindReport has no packet: an agent tells a balancer of its target's work. Its header is short and holds Load, Waiting,
+	// Silent and, where it is not zero, Failing only, since reports are most of what large fleets send.
 	KindReport
 	// KindFound tells a balancer that the target holds the flow that it searches; it carries a packet of the flow.
 	KindFound
@@ -70,6 +70,7 @@
 	Load     uint8  // from an agent: requests in progress at its target, flows about to send one included
 	Waiting  uint8  // from an agent: new flows that wait for a slot
 	Silent   bool   // from an agent: the target does not answer
+	Failing  uint8  // from an agent: percent of its target's requests that failed lately
 	ColdRate uint16 // KindForward: new flows a second that the cold target bears, in tenths; 0 is no limit
 	Held     uint16 // KindForward: how long the balancer kept the packet, in milliseconds
 	Aim      uint16 // KindForward: within which an answer is in time, in milliseconds
@@ -144,6 +145,7 @@
 	b = append(b, h.Origin[:]...)
 	b = append(b, h.Round, byte(h.Path.Len))
 	b = binary.BigEndian.AppendUint16(b, h.Held)
+	b = append(b, h.Failing)
 	for i := range h.Path.Len {
 		b = append(b, h.Path.IPs[i][:]...)
 	}
@@ -156,11 +158,20 @@
 	if h.Silent {
 		waiting |= reportSilent
 	}
-	return append(b, byte(h.Kind), h.Load, waiting)
+	b = append(b, byte(h.Kind), h.Load, waiting)
+	if h.Failing > 0 {
+		b = append(b, h.Failing)
+	}
+	return b
 }
 
-func decodeReport(b []byte) Header {
-	return Header{Kind: KindReport, Load: b[3], Waiting: b[4] &^ reportSilent, Silent: b[4]&reportSilent != 0}
+func decodeReport(b []byte) (Header, []byte) {
+	h := Header{Kind: KindReport, Load: b[3], Waiting: b[4] &^ reportSilent, Silent: b[4]&reportSilent != 0}
+	rest := b[ReportBytes:]
+	if len(rest) > 0 {
+		h.Failing, rest = rest[0], rest[1:]
+	}
+	return h, rest
 }
 
 // isReport reports whether a datagram begins as a report does.
@@ -171,7 +182,8 @@
 // Decode reads the header of a datagram and returns the packet behind it.
 func Decode(b []byte) (Header, []byte, error) {
 	if isReport(b) {
-		return decodeReport(b), b[ReportBytes:], nil
+		h, rest := decodeReport(b)
+		return h, rest, nil
 	}
 	if len(b) < Bytes {
 		return Header{}, nil, ErrShort
@@ -198,6 +210,7 @@
 	h.Round = b[22]
 	h.Path.Len = int(b[23])
 	h.Held = binary.BigEndian.Uint16(b[24:])
+	h.Failing = b[26]
 	rest := b[Bytes:]
 	if h.Path.Len > MaxPath || len(rest) < 4*h.Path.Len {
 		return Header{}, nil, ErrPath
@@ -214,6 +227,9 @@
 // Millis returns a time in milliseconds as far as the header holds it.
 func Millis(d time.Duration) uint16 { return uint16(min(max(d.Milliseconds(), 0), math.MaxUint16)) }
 
+// Percent returns a share from 0 to 1 in the unit of Failing.
+func Percent(share float64) uint8 { return uint8(min(max(share, 0), 1)*100 + 0.5) }
+
 // Tenths returns a rate in the unit of ColdRate, at least one where the rate is above zero.
 func Tenths(rate float64) uint16 {
 	if rate <= 0 {
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -76,6 +76,8 @@
 	// Budget is how long the caller still waits for the answer to the request that begins in the data; 0 where that is not
 	// known.
 	Budget time.Duration
+	// Status is the status of the answer that begins in the data; 0 where none does.
+	Status int
 }
 
 // Opens reports whether a caller's packet asks for a new flow.
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -241,6 +241,7 @@
 		Kind:    kind,
 		Load:    encap.Clamp8(a.gate.Load()),
 		Waiting: encap.Clamp8(a.gate.Waiting()),
+		Failing: encap.Percent(a.gate.Failing(now)),
 		Silent:  a.gate.Silent(now),
 	}
 }
@@ -267,12 +268,13 @@
 		a.returned(out, &p, datagram, now)
 	} else {
 		key := p.FromTarget()
+		p.Status = platform.AnswerStatus(platform.Payload(datagram))
 		asker, took := a.gate.FromTarget(key, &p, now)
 		if p.Reset {
 			delete(a.requests, key)
 		}
 		if took > 0 {
-			a.answered(key, platform.AnswerStatus(platform.Payload(datagram)), took)
+			a.answered(key, p.Status, took)
 		}
 		if asker.IsValid() {
 			delete(a.searches, searchKey{flow: key, balancer: a.index[asker]})
--- /dev/null
+++ b/internal/decay/decay.go
@@ -0,0 +1,24 @@
+// Package decay holds values that fade out with time.
+package decay
+
+import (
+	"math"
+	"time"
+)
+
+// Value is a number that halves with each half-life since it was set.
+type Value struct {
+	value float64
+	at    time.Duration
+}
+
+// At returns the value at a steady time.
+func (v *Value) At(now, halfLife time.Duration) float64 {
+	if v.value == 0 {
+		return 0
+	}
+	return v.value * math.Exp2(-float64(now-v.at)/float64(halfLife))
+}
+
+// Set sets the value as of a steady time.
+func (v *Value) Set(value float64, now time.Duration) { v.value, v.at = value, now }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/internal/decay"
 )
 
 const (
@@ -30,6 +31,13 @@
 	refusedLife = 250 * time.Millisecond
 	// refusedPenalty puts such a target last where a flow has to wait.
 	refusedPenalty = 4.0
+	// failingFloor is the share of failed requests from on which a target is avoided, and failingPenalty what it costs per
+	// share. A third of failures weighs as much as all slots at work, so that the target gets what others have no room for.
+	failingFloor   = 0.1
+	failingPenalty = 3.0
+	// failingHalfLife is the time in which a reported share of failures halves. Where no report follows, since nothing is
+	// sent to the target, it is tried again.
+	failingHalfLife = 2 * time.Second
 )
 
 // load is what a balancer knows of the work of one target.
@@ -42,6 +50,7 @@
 	silent     bool
 	fullAt     time.Duration // when it refused a new flow for lack of slots; 0: never
 	refusedAt  time.Duration // when it refused a new flow for another reason; 0: never
+	failing    decay.Value   // share of the requests that failed lately
 	owed       time.Duration // steady time of the first packet that the agent has not been heard of since; 0: none
 }
 
@@ -76,6 +85,11 @@
 	held.silent, held.owed = silent, 0
 }
 
+// Failing takes over the share of a target's requests that failed lately, from 0 to 1, as its agent says.
+func (l *Loads) Failing(ip [4]byte, share float64, now time.Duration) {
+	l.of(ip).failing.Set(share, now)
+}
+
 // Sent notes that a packet went to the VM, and with opens that it was a new flow.
 func (l *Loads) Sent(ip [4]byte, opens bool, now time.Duration) {
 	held := l.of(ip)
@@ -141,6 +155,9 @@
 	if held.refuses(now) {
 		cost += refusedPenalty
 	}
+	if share := held.failing.At(now, failingHalfLife); share >= failingFloor {
+		cost += failingPenalty * share
+	}
 	return cost
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -158,6 +158,44 @@
 	}
 }
 
+// Pattern: a target answers two of five requests with an error, at once, so that it has little work and would get more of
+// them than any other.
+func TestTargetThatFailsIsAvoidedAndTriedAgain(t *testing.T) {
+	view := viewOf(4, 9, "a")
+	c, loads := chooser("a")
+	for n := range 4 {
+		loads.Reported(ip(n), 5, 0, false, time.Second)
+	}
+	loads.Reported(ip(0), 1, 0, false, time.Second)
+	loads.Failing(ip(0), 0.4, time.Second)
+	chosen := func(now time.Duration) (count int) {
+		for key := range uint64(100) {
+			if c.Choose(view, "bench", key, nil, now).ID == "i-0" {
+				count++
+			}
+		}
+		return count
+	}
+	require.Zero(t, chosen(time.Second))
+	require.Positive(t, chosen(6*time.Second), "without reports the share fades")
+	loads.Failing(ip(0), 0.04, 7*time.Second)
+	require.Positive(t, chosen(7*time.Second), "a single failure is no sign")
+}
+
+// Requests that fail at each target are not the targets' fault: placement does not change.
+func TestTargetsThatAllFailAreChosenAsBefore(t *testing.T) {
+	view := viewOf(4, 9, "a")
+	c, loads := chooser("a")
+	for n := range 4 {
+		loads.Reported(ip(n), n, 0, false, time.Second)
+	}
+	before := c.Choose(view, "bench", 1, nil, time.Second).ID
+	for n := range 4 {
+		loads.Failing(ip(n), 1, time.Second)
+	}
+	require.Equal(t, before, c.Choose(view, "bench", 1, nil, time.Second).ID)
+}
+
 // maxImbalance is the aim of the brief: highest over mean work in progress over targets at 70% load.
 const maxImbalance = 1.10
 
--- /dev/null
+++ b/targetgate/failures.go
@@ -0,0 +1,42 @@
+package targetgate
+
+import (
+	"time"
+
+	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/internal/decay"
+)
+
+const (
+	// failureWeight is the weight of a request in the share of those that fail.
+	failureWeight = 0.05
+	// FailureHalfLife is the time in which the share of failed requests halves where none fail. It is how soon a target that
+	// failed is offered new flows again.
+	FailureHalfLife = 2 * time.Second
+	// firstServerError is the lowest status that tells an error of the target.
+	firstServerError = 500
+	// tooManyRequests is the status of a target that refuses a request which its slots would have room for.
+	tooManyRequests = 429
+)
+
+// failures is the share of a target's requests that fail, the late ones counting most.
+type failures struct {
+	share decay.Value
+}
+
+func (f *failures) note(failed bool, now time.Duration) {
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	share := f.share.At(now, FailureHalfLife)
+	f.share.Set(share+failureWeight*(outcome-share), now)
+}
+
+// isFailure reports whether the packet of a target begins an answer that tells a failure of the target.
+func isFailure(p *flow.Packet) bool {
+	return p.Status >= firstServerError || p.Status == tooManyRequests
+}
+
+// Failing returns the share of the target's requests that failed lately, from 0 to 1.
+func (g *Gate) Failing(now time.Duration) float64 { return g.failures.share.At(now, FailureHalfLife) }
--- /dev/null
+++ b/targetgate/failures_test.go
@@ -0,0 +1,87 @@
+package targetgate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/targetgate"
+)
+
+// run gives the target a request each 20 ms for a second, with an answer 10 ms later. Those that fail have the status.
+func run(g *targetgate.Gate, from time.Duration, status int, fails func(n int) bool) (end time.Duration) {
+	now := from
+	for n := range 50 {
+		port := int(now / ms)
+		g.Offer(offer(port), now)
+		g.FromCaller(keyOf(port), request(1), flow.Endpoint{}, now)
+		reply := &flow.Packet{AckFlag: true, DataLen: 500, Status: 200}
+		if fails(n) {
+			reply.Status = status
+		}
+		g.FromTarget(keyOf(port), reply, now+10*ms)
+		now += 20 * ms
+	}
+	return now
+}
+
+func TestShareOfFailedRequests(t *testing.T) {
+	for status, failure := range map[int]bool{200: false, 404: false, 429: true, 500: true, 503: true} {
+		g := targetgate.New()
+		end := run(g, time.Second, status, func(n int) bool { return n%5 < 2 })
+		if !failure {
+			require.Zero(t, g.Failing(end), "status %d", status)
+			continue
+		}
+		require.InDelta(t, 0.4, g.Failing(end), 0.15, "status %d", status)
+		require.Less(t, g.Failing(end+4*targetgate.FailureHalfLife), 0.05, "it is tried again")
+	}
+}
+
+func TestSingleFailureIsNoSign(t *testing.T) {
+	g := targetgate.New()
+	end := run(g, time.Second, 500, func(n int) bool { return n == 48 })
+	require.Less(t, g.Failing(end), 0.1)
+}
+
+func TestResetsAndMissingAnswersAreFailures(t *testing.T) {
+	ends := map[string]func(g *targetgate.Gate, port int){
+		"reset of the target": func(g *targetgate.Gate, port int) {
+			g.FromTarget(keyOf(port), &flow.Packet{Reset: true}, time.Second+100*ms)
+		},
+		"caller gave up": func(g *targetgate.Gate, port int) {
+			g.FromCaller(keyOf(port), &flow.Packet{Reset: true}, flow.Endpoint{}, time.Second+900*ms)
+		},
+		"no answer": func(g *targetgate.Gate, _ int) { g.Expire(time.Second + 1100*ms) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			g := targetgate.New()
+			for port := 1; port <= 9; port++ {
+				g.Offer(offer(port), time.Second)
+				g.FromCaller(keyOf(port), request(1), flow.Endpoint{}, time.Second)
+			}
+			for port := 1; port <= 9; port++ {
+				end(g, port)
+			}
+			require.Greater(t, g.Failing(time.Second+1100*ms), 0.2)
+		})
+	}
+}
+
+// Pattern: a target hangs on some of its requests. Those on its open flows that it would answer do not wait behind them.
+func TestRequestsWithoutAnAnswerHoldNoSlotsForLong(t *testing.T) {
+	g := targetgate.New()
+	taken := fill(g, time.Second)
+	open(t, g, last(100, 0), 4*time.Second, time.Second)
+	require.Equal(t, 1, g.Waiting())
+	now := time.Second + 1100*ms
+	key, ok := g.NextRequest(now)
+	require.True(t, ok)
+	require.Equal(t, keyOf(100), key)
+	require.Equal(t, taken+1, g.Load(), "new flows go elsewhere")
+	g.FromTarget(keyOf(1), answer, now)
+	require.Equal(t, taken, g.Load(), "an answer may still come")
+}
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -17,6 +17,9 @@
 	spareShare = 8 // one more for this many slots
 	// openLimit is how long an accepted flow counts as work before its first request arrives.
 	openLimit = 60 * time.Millisecond
+	// stuckLimit is how long a request may go without an answer before it counts as failed and takes no slot from those that
+	// wait. An answer may still come.
+	stuckLimit = time.Second
 	// workLimit is how long a request counts as work without an answer.
 	workLimit = 8 * time.Second
 	// attemptLimit is the age of a SYN after which its caller has given the attempt up.
@@ -102,6 +105,7 @@
 type state struct {
 	phase   request
 	since   time.Duration
+	stuck   bool // the request has no answer for long
 	known   bool // the target sent a packet of the flow, its SYN+ACK apart
 	offered bool // the target sent its SYN+ACK, with number synSeq
 	synSeq  uint32
@@ -113,24 +117,26 @@
 
 // Gate holds the state of one target. It is not safe for concurrent use.
 type Gate struct {
-	flows   *flow.Table[*state]
-	opening []opening // accepted flows without a request, oldest first
-	busy    map[flow.Key]*state
-	waiting waitList // new flows
-	queue   waitList // requests of flows that the target has
-	routes  map[flow.Endpoint]*route
-	slots   int
-	work    time.Duration // mean time of a request
-	cold    []time.Duration
-	owed    time.Duration // of the first packet to which the target owes an answer at once; 0: none
-	owedFor time.Duration // of the first request since the target was heard of; 0: none
-	heard   time.Duration // when the target was last heard of
-	offered time.Duration // when the target was last given a new flow
-	down    bool          // a probe showed that the target does not run
-	pause   time.Duration // between the new flows of a target that sends them back; 0: it takes them
-	closed  time.Duration // until when such a target gets none
-	started time.Duration // when the target showed that it had started anew
-	lost    int           // requests that ended without an answer since the last call of TakeLost
+	flows    *flow.Table[*state]
+	opening  []opening // accepted flows without a request, oldest first
+	busy     map[flow.Key]*state
+	waiting  waitList // new flows
+	queue    waitList // requests of flows that the target has
+	routes   map[flow.Endpoint]*route
+	slots    int
+	work     time.Duration // mean time of a request
+	cold     []time.Duration
+	owed     time.Duration // of the first packet to which the target owes an answer at once; 0: none
+	owedFor  time.Duration // of the first request since the target was heard of; 0: none
+	heard    time.Duration // when the target was last heard of
+	offered  time.Duration // when the target was last given a new flow
+	down     bool          // a probe showed that the target does not run
+	pause    time.Duration // between the new flows of a target that sends them back; 0: it takes them
+	closed   time.Duration // until when such a target gets none
+	started  time.Duration // when the target showed that it had started anew
+	failures failures
+	stuck    int // requests that have no answer for long
+	lost     int // requests that ended without an answer since the last call of TakeLost
 }
 
 type opening struct {
@@ -291,8 +297,13 @@
 	clear(g.opening[len(kept):])
 	g.opening = kept
 	for key, s := range g.busy {
-		if now-s.since > workLimit {
+		switch age := now - s.since; {
+		case age > workLimit:
 			g.lose(key, s)
+		case age > stuckLimit && !s.stuck:
+			s.stuck = true
+			g.stuck++
+			g.failures.note(true, now)
 		}
 	}
 	for len(g.cold) > 0 && now-g.cold[0] >= time.Second {
--- a/targetgate/passing.go
+++ b/targetgate/passing.go
@@ -30,6 +30,9 @@
 	}
 	switch {
 	case p.Reset:
+		if s.phase == requestWork && !s.stuck {
+			g.failures.note(true, now)
+		}
 		g.end(key, s)
 	case asker.IsValid() && !known:
 		// A search asks all targets: the flow is work only where the target holds it.
@@ -69,9 +72,12 @@
 
 // hasSlot reports whether the target may work on one more request now.
 func (g *Gate) hasSlot() bool {
-	return g.slots == 0 || (len(g.queue.items) == 0 && len(g.busy) < g.limit())
+	return g.slots == 0 || (len(g.queue.items) == 0 && g.isFree())
 }
 
+// isFree reports whether a slot is free for a request.
+func (g *Gate) isFree() bool { return len(g.busy)-g.stuck < g.limit() }
+
 func (g *Gate) begin(key flow.Key, s *state, now time.Duration) {
 	s.phase, s.since = requestWork, now
 	g.busy[key] = s
@@ -94,7 +100,7 @@
 // NextRequest returns the flow of a request that waited and may go to the target now.
 func (g *Gate) NextRequest(now time.Duration) (flow.Key, bool) {
 	g.Expire(now)
-	for len(g.queue.items) > 0 && len(g.busy) < g.limit() {
+	for len(g.queue.items) > 0 && g.isFree() {
 		best := g.queue.best(now, g.work)
 		key := g.queue.items[best].key
 		g.queue.remove(best)
@@ -161,9 +167,15 @@
 	}
 	switch {
 	case p.Reset:
+		if s.phase == requestWork {
+			g.failures.note(true, now)
+		}
 		g.lose(key, s)
 		g.flows.Delete(key)
 	case p.DataLen > 0 || p.Fin:
+		if s.phase == requestWork {
+			g.failures.note(isFailure(p), now)
+		}
 		took = g.answered(key, s, now)
 	}
 	return asker, took
@@ -191,6 +203,10 @@
 	if s.phase == requestQueued {
 		g.queue.forget(key)
 	}
+	if s.stuck {
+		s.stuck = false
+		g.stuck--
+	}
 	s.phase = requestNone
 	delete(g.busy, key)
 }
