A balancer that reaches no target says so to the routers

Change: where several agents owe an answer and none of a listed target has been heard of for 600 ms, the process counts as cut off until one is. It answers the routers with 503, refuses the last copy of a SYN at once and asks four agents for a report each 100 ms, since agents report to those only that send to them. Agents of targets that are not listed do not count.

Ruled out: new flows to targets whose entries lapsed.

--- a/cmd/cowslip-l4/balancer.go
+++ b/cmd/cowslip-l4/balancer.go
@@ -111,8 +111,9 @@
 	return serve(lc, s.Peers, v.Handler(), log)
 }
 
-func startBalancer(lc fx.Lifecycle, s *settings.PacketBalancer, b *forward.Balancer, v *viewsync.Syncer, log *slog.Logger) {
+func startBalancer(lc fx.Lifecycle, s *settings.PacketBalancer, b *forward.Balancer, v *viewsync.Syncer, ready *readiness, log *slog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
+	ready.serves = b.ReachesAgents
 	lc.Append(fx.StartStopHook(
 		func() {
 			go v.Run(ctx)
--- a/cmd/cowslip-l4/run.go
+++ b/cmd/cowslip-l4/run.go
@@ -37,10 +37,14 @@
 
 // readiness tells whether the process takes packets.
 type readiness struct {
-	state atomic.Bool
-	first atomic.Bool // it was ready once
+	state  atomic.Bool
+	first  atomic.Bool // it was ready once
+	serves func() bool // whether the process can serve, besides; nil: it can
 }
 
+// isReady reports whether the process is to get packets.
+func (r *readiness) isReady() bool { return r.state.Load() && (r.serves == nil || r.serves()) }
+
 // startLog returns the logger of a process and the sink to close at its end.
 func startLog(role string, s *settings.PacketCommon) (*slog.Logger, *logsink.Sink) {
 	var level slog.Level
@@ -81,7 +85,7 @@
 
 // serveReady answers the platform's routers.
 func serveReady(lc fx.Lifecycle, s *settings.PacketCommon, ready *readiness, log *slog.Logger) error {
-	return serve(lc, s.Ready, platform.ReadyHandler(ready.state.Load), log)
+	return serve(lc, s.Ready, platform.ReadyHandler(ready.isReady), log)
 }
 
 // runApp starts the application, waits for a signal and stops it: first readiness turns false, after the delay the rest.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -3,6 +3,7 @@
 package directory
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"strings"
@@ -132,6 +133,11 @@
 // TargetOn returns the target on the VM with the address, or nil.
 func (v *View) TargetOn(ip [4]byte) *Target { return v.byIP[ip] }
 
+// Addresses returns the VMs of all targets in order.
+func (v *View) Addresses() [][4]byte {
+	return slices.SortedFunc(maps.Keys(v.byIP), func(a, b [4]byte) int { return bytes.Compare(a[:], b[:]) })
+}
+
 // Formerly returns services that earlier configurations named for the route and the present one does not.
 func (v *View) Formerly(route string) []string { return v.formerly[route] }
 
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -51,6 +51,7 @@
 	CauseNoView        Cause = "no_view"         // no configuration is known yet
 	CauseNoTarget      Cause = "no_target"       // the service has no target that may take new flows
 	CauseNoRoom        Cause = "no_room"         // no target has room now, the caller's next copy may find some
+	CauseIsolated      Cause = "isolated"        // this process reaches no agent, and the SYN is the caller's last copy
 	CauseOverload      Cause = "overload"        // no target has room for the last copy of a SYN
 	CauseUnknownFlow   Cause = "unknown_flow"    // no target holds the flow
 	CauseMissPending   Cause = "miss_unproved"   // no target holds the flow as far as an older view knows
@@ -64,7 +65,7 @@
 // Causes are all causes.
 var Causes = []Cause{
 	CausePlaced, CauseRepeated, CauseNext, CauseWait, CauseOpen, CauseSearch, CauseSearching, CauseNoRoute, CauseNoView,
-	CauseNoTarget, CauseNoRoom, CauseOverload, CauseUnknownFlow, CauseMissPending, CauseDomainOut, CauseTooManyHops,
+	CauseNoTarget, CauseNoRoom, CauseIsolated, CauseOverload, CauseUnknownFlow, CauseMissPending, CauseDomainOut, CauseTooManyHops,
 	CauseNotFromCaller, CauseStaleReturn, CauseCallerReset,
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -106,8 +106,14 @@
 func (d *Dispatcher) Reported(ip [4]byte, h *encap.Header, now time.Duration) {
 	d.loads.Reported(ip, int(h.Load), int(h.Waiting), h.Silent, now)
 	d.loads.Failing(ip, float64(h.Failing)/100, now)
+	if d.view.TargetOn(ip) != nil {
+		d.loads.HeardListed(now)
+	}
 }
 
+// Isolated reports whether the process reaches no target in the view, so that it can serve no new flow.
+func (d *Dispatcher) Isolated(now time.Duration) bool { return d.loads.Isolated(now) }
+
 // FromCaller decides about a caller's packet.
 func (d *Dispatcher) FromCaller(p *flow.Packet, now time.Duration) Decision {
 	if p.Returned || (p.Syn && p.AckFlag) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -316,3 +316,32 @@
 		require.Equal(t, placed.Target, open.Target)
 	}
 }
+
+// Pattern: nothing gets out of a failure domain. Its targets cannot write their entries, which lapse, while their agents are
+// heard; those of other domains are not reached. The balancers there can serve no new flow.
+func TestBalancerThatReachesNoListedTargetIsIsolated(t *testing.T) {
+	f := newFleet(t)
+	for n := 1; n <= 3; n++ {
+		f.target(n, domainB, directory.TargetReady)
+	}
+	f.target(9, domainA, directory.TargetReady)
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	play := func(from, until float64) {
+		for now := from; now < until; now += 0.02 {
+			d.FromCaller(syn(uint16(1000*now), 0), seconds(now))
+			d.Reported(ip(9), &encap.Header{Kind: encap.KindReport, Load: 40}, seconds(now))
+		}
+	}
+	play(1, 3)
+	require.False(t, d.Isolated(seconds(3)), "it reaches a target")
+	f.apply(directory.Record{Kind: directory.KindTarget, Name: "i-9", Removed: true})
+	d.SetView(f.dir.View(), seconds(3), seconds(3))
+	play(3, 4)
+	require.True(t, d.Isolated(seconds(4)))
+	decision := d.FromCaller(syn(7, 2), seconds(4))
+	require.Equal(t, dispatch.CauseIsolated, decision.Cause, "the last copy is refused, so that its caller asks elsewhere")
+	require.Equal(t, dispatch.OutcomeReset, decision.Outcome)
+	d.Reported(ip(1), &encap.Header{Kind: encap.KindReport}, seconds(5))
+	require.False(t, d.Isolated(seconds(5)))
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -22,6 +22,10 @@
 		e.copies = p.Copy
 		cause = CauseRepeated
 	}
+	if p.Copy >= lastCopy && d.loads.Isolated(now) {
+		d.table.Delete(key)
+		return Decision{Outcome: OutcomeReset, Cause: CauseIsolated, Service: e.service, Seq: p.Ack}
+	}
 	if e.waiting {
 		return d.offer(e, true, cause, p, now)
 	}
--- a/encap/encap.go
+++ b/encap/encap.go
@@ -33,6 +33,8 @@
 	KindReport
 	// KindFound tells a balancer that the target holds the flow that it searches; it carries a packet of the flow.
 	KindFound
+	// KindProbe has no packet: a balancer asks an agent for a report.
+	KindProbe
 )
 
 // Reason says why a packet came back.
@@ -188,7 +190,7 @@
 	if len(b) < Bytes {
 		return Header{}, nil, ErrShort
 	}
-	if binary.BigEndian.Uint16(b) != magic || b[2] == 0 || b[2] > byte(KindFound) {
+	if binary.BigEndian.Uint16(b) != magic || b[2] == 0 || b[2] > byte(KindProbe) {
 		return Header{}, nil, ErrForeign
 	}
 	h := Header{
--- a/encap/encap_test.go
+++ b/encap/encap_test.go
@@ -10,7 +10,7 @@
 )
 
 func drawHeader(t *rapid.T) encap.Header {
-	kinds := []encap.Kind{encap.KindForward, encap.KindReturn, encap.KindFound}
+	kinds := []encap.Kind{encap.KindForward, encap.KindReturn, encap.KindFound, encap.KindProbe}
 	h := encap.Header{
 		Kind:     rapid.SampledFrom(kinds).Draw(t, "kind"),
 		Reason:   encap.Reason(rapid.Byte().Draw(t, "reason")),
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -136,6 +136,10 @@
 
 func (a *Agent) fromBalancer(out *agentBoxes, datagram []byte, from flow.Endpoint) {
 	h, packet, err := encap.Decode(datagram)
+	if err == nil && h.Kind == encap.KindProbe {
+		a.answerProbe(out, from)
+		return
+	}
 	if err != nil || h.Kind != encap.KindForward {
 		droppedForeign.Inc()
 		return
--- a/forward/agent_balancers.go
+++ b/forward/agent_balancers.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// answerProbe reports to a balancer that asks for it.
+func (a *Agent) answerProbe(out *agentBoxes, from flow.Endpoint) {
+	now := a.clock.now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.balancerAt(from, now)
+	h := a.header(encap.KindReport, now)
+	out.balancers.wrap(from, &h, nil)
+}
+
 // reportsDue returns the balancers that get a report in this turn: those that sent a packet lately, or where there are
 // many, every second of them.
 func reportsDue(balancers []balancer, turn int, now time.Duration) []flow.Endpoint {
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -55,6 +56,9 @@
 	heldOut *outboxes  // for packets that were held
 	repeats *rate.Limiter
 
+	isolated atomic.Bool // no agent is reached
+	closed   chan struct{}
+
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	held       heldPackets
@@ -79,6 +83,7 @@
 		clock:      newClock(),
 		repeats:    rate.NewLimiter(repeatsPerSecond, repeatsPerSecond),
 		dispatcher: dispatch.New(c.Domain, c.outWait()),
+		closed:     make(chan struct{}),
 	}
 	b.heldOut = b.newOutboxes()
 	return b, nil
@@ -162,6 +167,7 @@
 		out := b.newOutboxes()
 		readLoop(b.tunnel, func(d []byte, from flow.Endpoint) { b.fromAgent(out, d, from) }, out.flush, b.config.Log)
 	})
+	group.Go(b.watchAgents)
 	group.Wait()
 }
 
@@ -170,6 +176,7 @@
 	b.mu.Lock()
 	b.searched = searchedPackets{armed: true} // no timer starts any more
 	b.mu.Unlock()
+	close(b.closed)
 	_ = b.packets.Close()
 	_ = b.tunnel.Close()
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -51,13 +51,16 @@
 	fullAt     time.Duration // when it refused a new flow for lack of slots; 0: never
 	refusedAt  time.Duration // when it refused a new flow for another reason; 0: never
 	failing    decay.Value   // share of the requests that failed lately
+	sentAt     time.Duration // when the process last sent to it
 	owed       time.Duration // steady time of the first packet that the agent has not been heard of since; 0: none
 }
 
 // Loads estimates the work of targets from the reports of their agents and from the flows that the process placed. It
 // is not safe for concurrent use.
 type Loads struct {
-	byIP map[[4]byte]*load
+	byIP     map[[4]byte]*load
+	heardAt  time.Duration // when the last agent of a listed target was heard of
+	isolated bool          // none was heard of since the process was cut off
 }
 
 // NewLoads returns an empty estimate.
@@ -93,6 +96,7 @@
 // Sent notes that a packet went to the VM, and with opens that it was a new flow.
 func (l *Loads) Sent(ip [4]byte, opens bool, now time.Duration) {
 	held := l.of(ip)
+	held.sentAt = now
 	if held.owed == 0 {
 		held.owed = now
 	}
