The status of an answer counts whatever packet of it passes first

Its answers have three packets, which pass in the opposite order: the FIN ended the request, its status was not seen, and the target counted as well.

Change: the gate knows the number with which an answer begins. The first data frees the slot, whichever it is; the outcome is told with the first bytes, and a FIN without them ends a request only where nothing lacks before it.

Test fails first: TestAnswerWhosePacketsPassInAnyOrder.

--- a/targetgate/failures_test.go
+++ b/targetgate/failures_test.go
@@ -85,3 +85,39 @@
 	g.FromTarget(keyOf(1), answer, now)
 	require.Equal(t, taken, g.Load(), "an answer may still come")
 }
+
+// Pattern: the packets of a short answer pass in the opposite order, the FIN first.
+func TestAnswerWhosePacketsPassInAnyOrder(t *testing.T) {
+	status := &flow.Packet{AckFlag: true, Seq: 7001, DataLen: 150, Status: 500}
+	body := &flow.Packet{AckFlag: true, Seq: 7151, DataLen: 100}
+	fin := &flow.Packet{AckFlag: true, Seq: 7251, Fin: true}
+	for _, order := range [][]*flow.Packet{{status, body, fin}, {fin, body, status}, {body, status, fin}} {
+		g := targetgate.New()
+		g.Offer(offer(1), time.Second)
+		g.FromTarget(keyOf(1), &flow.Packet{Syn: true, AckFlag: true, Seq: 7000}, time.Second)
+		g.FromCaller(keyOf(1), request(1), flow.Endpoint{}, time.Second)
+		var times []time.Duration
+		for _, p := range order {
+			if _, took := g.FromTarget(keyOf(1), p, time.Second+30*ms); took > 0 {
+				times = append(times, took)
+			}
+		}
+		g.Expire(time.Second + 30*ms)
+		require.Zero(t, g.Load())
+		require.Equal(t, []time.Duration{30 * ms}, times, "told once, with the packet that holds the status")
+		require.InDelta(t, 0.05, g.Failing(time.Second+30*ms), 0.001)
+		require.Zero(t, g.TakeLost())
+	}
+}
+
+func TestFlowThatTheTargetClosesWithoutAnAnswer(t *testing.T) {
+	g := targetgate.New()
+	g.Offer(offer(1), time.Second)
+	g.FromTarget(keyOf(1), &flow.Packet{Syn: true, AckFlag: true, Seq: 7000}, time.Second)
+	g.FromCaller(keyOf(1), request(1), flow.Endpoint{}, time.Second)
+	g.FromTarget(keyOf(1), &flow.Packet{AckFlag: true, Seq: 7001, Fin: true}, time.Second+ms)
+	g.Expire(time.Second + ms)
+	require.Zero(t, g.Load())
+	require.Equal(t, 1, g.TakeLost())
+	require.Positive(t, g.Failing(time.Second+ms))
+}
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -112,6 +112,7 @@
 	heard   time.Duration // when the target last did
 	seq     uint32
 	seqSeen bool
+	answer  answer
 	asker   flow.Endpoint // balancer that wants to know whether the target holds the flow
 }
 
--- a/targetgate/passing.go
+++ b/targetgate/passing.go
@@ -80,6 +80,7 @@
 
 func (g *Gate) begin(key flow.Key, s *state, now time.Duration) {
 	s.phase, s.since = requestWork, now
+	s.answer.expect()
 	g.busy[key] = s
 	if g.owedFor == 0 {
 		g.owedFor = now
@@ -146,71 +147,6 @@
 	return true
 }
 
-// FromTarget notes a packet of the target. It returns the balancer that searches the flow, if one does, and the time of
-// the request that the packet begins to answer, or 0.
-func (g *Gate) FromTarget(key flow.Key, p *flow.Packet, now time.Duration) (asker flow.Endpoint, took time.Duration) {
-	g.hear(now)
-	s, held := g.flows.Get(key, now)
-	if !held {
-		s = &state{}
-		g.flows.Put(key, s, now)
-	}
-	s.known = s.known || !p.Syn
-	s.heard = now
-	if p.Syn {
-		g.pause, g.closed = 0, 0
-		s.offered, s.synSeq = true, p.Seq
-	}
-	asker, s.asker = s.asker, flow.Endpoint{}
-	if !s.known {
-		s.asker, asker = asker, flow.Endpoint{}
-	}
-	switch {
-	case p.Reset:
-		if s.phase == requestWork {
-			g.failures.note(true, now)
-		}
-		g.lose(key, s)
-		g.flows.Delete(key)
-	case p.DataLen > 0 || p.Fin:
-		if s.phase == requestWork {
-			g.failures.note(isFailure(p), now)
-		}
-		took = g.answered(key, s, now)
-	}
-	return asker, took
-}
-
-// answered ends the work on a request with the first data of its answer. It returns the time that the request took.
-func (g *Gate) answered(key flow.Key, s *state, now time.Duration) (took time.Duration) {
-	if s.phase == requestWork {
-		took = now - s.since
-		g.work += time.Duration(workWeight * float64(took-g.work))
-	}
-	g.end(key, s)
-	return took
-}
-
-// lose ends the work on a request that gets no answer.
-func (g *Gate) lose(key flow.Key, s *state) {
-	if s.phase == requestWork {
-		g.lost++
-	}
-	g.end(key, s)
-}
-
-func (g *Gate) end(key flow.Key, s *state) {
-	if s.phase == requestQueued {
-		g.queue.forget(key)
-	}
-	if s.stuck {
-		s.stuck = false
-		g.stuck--
-	}
-	s.phase = requestNone
-	delete(g.busy, key)
-}
-
 // Returned notes that the target sent a packet of a flow back: it does not hold the flow.
 func (g *Gate) Returned(key flow.Key, now time.Duration) {
 	g.hear(now)
