--- a/directory/change.go
+++ b/directory/change.go
@@ -1,9 +1,6 @@
 package directory
 
-import (
-	"reflect"
-	"slices"
-)
+import "reflect"
 
 // ConfigChange leads from one configuration to the next. At thousands of routes it is a small part of the whole.
 type ConfigChange struct {
@@ -16,8 +13,8 @@
 // isWorthwhile reports whether the change is clearly less than the whole configuration.
 func (c *ConfigChange) isWorthwhile() bool { return 2*len(c.Next.Routes)+len(c.Gone) < c.routes }
 
-// changeOf returns the change from the configuration of a revision to the next one. It reports false where the routes
-// cannot be told apart by their names, or stand in another order.
+// changeOf returns the change from the configuration of a revision to the next one. It reports false where the change is no
+// less than the whole, and where the routes cannot be told apart by their names or stand in another order.
 func changeOf(old *Config, base uint64, next *Config) (*ConfigChange, bool) {
 	c := &ConfigChange{Base: base, Next: *next, routes: len(next.Routes)}
 	c.Next.Routes = nil
@@ -37,7 +34,7 @@
 			c.Gone = append(c.Gone, old.Routes[i].Name)
 		}
 	}
-	return c, reflect.DeepEqual(c.apply(old), next)
+	return c, c.isWorthwhile() && reflect.DeepEqual(c.apply(old), next)
 }
 
 // apply returns the next configuration.
@@ -48,12 +45,16 @@
 	for i := range c.Next.Routes {
 		added[c.Next.Routes[i].Name] = &c.Next.Routes[i]
 	}
+	gone := make(map[string]bool, len(c.Gone))
+	for _, name := range c.Gone {
+		gone[name] = true
+	}
 	for i := range old.Routes {
 		route := &old.Routes[i]
 		if changed := added[route.Name]; changed != nil {
 			next.Routes = append(next.Routes, *changed)
 			delete(added, route.Name)
-		} else if !slices.Contains(c.Gone, route.Name) {
+		} else if !gone[route.Name] {
 			next.Routes = append(next.Routes, *route)
 		}
 	}
--- a/directory/config.go
+++ b/directory/config.go
@@ -64,7 +64,7 @@
 	if d.change == nil {
 		d.change, d.changeOK = changeOf(d.before, d.beforeRev, d.config)
 	}
-	if d.changeOK && d.change.isWorthwhile() {
+	if d.changeOK {
 		r.Change = d.change
 	} else {
 		r.Config = d.config
--- a/viewsync/peers.go
+++ b/viewsync/peers.go
@@ -191,7 +191,7 @@
 	}
 	s.mu.Lock()
 	now := s.config.Now()
-	s.reader, s.updated = m.Reader, now
+	s.noteReader(m.Reader, now)
 	known := now - m.Age - transitMargin
 	yields := m.Reader.Compare(s.config.Self) < 0 && known > s.known-patience
 	state := s.parts.take(m)
@@ -215,6 +215,16 @@
 	s.fetchInBackground(ctx, m, from, now)
 }
 
+// noteReader takes over which process reads the store. Of several that do, the one with the lowest address goes on, so that
+// confirmations are asked of that one. The caller holds the lock.
+func (s *Syncer) noteReader(reader netip.AddrPort, now time.Duration) {
+	goesOn := s.reader.IsValid() && now-s.updated < s.patience
+	if goesOn && s.reader.Compare(reader) < 0 {
+		return
+	}
+	s.reader, s.updated = reader, now
+}
+
 // fetchInBackground fetches what an update lacks, unless a fetch runs: messages that come meanwhile must not wait.
 func (s *Syncer) fetchInBackground(ctx context.Context, m *message, from netip.AddrPort, came time.Duration) {
 	if !s.fetching.CompareAndSwap(false, true) {
