--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -105,9 +105,10 @@
 type state struct {
 	phase   request
 	since   time.Duration
-	stuck   bool // the request has no answer for long
-	known   bool // the target sent a packet of the flow, its SYN+ACK apart
-	offered bool // the target sent its SYN+ACK, with number synSeq
+	sent    time.Duration // when the caller sent the first SYN; 0: the flow had a request since, or that is not known
+	stuck   bool          // the request has no answer for long
+	known   bool          // the target sent a packet of the flow, its SYN+ACK apart
+	offered bool          // the target sent its SYN+ACK, with number synSeq
 	synSeq  uint32
 	heard   time.Duration // when the target last did
 	seq     uint32
@@ -185,12 +186,12 @@
 	reason := g.obstacle(o, now)
 	switch {
 	case reason == encap.ReasonNone:
-		g.accept(o.Key, now)
+		g.accept(o.Key, now-o.age(), now)
 		return Accept, reason
 	case !o.Last || reason == encap.ReasonSilent || reason == encap.ReasonRefused || !g.canWait(o, now):
 		return Refuse, reason
 	case reason == encap.ReasonBusy && g.coldRoom(o.ColdRate, now):
-		g.accept(o.Key, now) // its request says how long it may wait, a SYN does not
+		g.accept(o.Key, now-o.age(), now) // its request says how long it may wait, a SYN does not
 		return Accept, reason
 	default:
 		waits := o.waiter(now)
@@ -273,8 +274,9 @@
 	return time.Duration(requests) * g.work / time.Duration(g.slots)
 }
 
-func (g *Gate) accept(key flow.Key, now time.Duration) {
-	s := &state{phase: requestOpening, since: now}
+// accept gives the target a new flow whose first SYN was sent at a steady time.
+func (g *Gate) accept(key flow.Key, sent, now time.Duration) {
+	s := &state{phase: requestOpening, since: now, sent: sent}
 	g.flows.Put(key, s, now)
 	g.opening = append(g.opening, opening{key: key, state: s, at: now})
 	g.cold = append(g.cold, now)
@@ -327,6 +329,6 @@
 		return flow.Key{}, false
 	}
 	g.waiting.remove(best)
-	g.accept(next.key, now)
+	g.accept(next.key, next.came, now)
 	return next.key, true
 }
--- a/targetgate/passing.go
+++ b/targetgate/passing.go
@@ -1,6 +1,7 @@
 package targetgate
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cowslipward/cowslipward/flow"
@@ -60,7 +61,8 @@
 		s.since = now
 		return StepPass
 	}
-	next := g.request(key, p.Budget, now)
+	next := g.request(key, s, p.Budget, now)
+	s.sent = 0
 	if g.hasSlot() {
 		g.begin(key, s, now)
 		return StepBegin
@@ -87,13 +89,15 @@
 	}
 }
 
-// request returns the entry of a request among those that wait. Its caller has so much time left; zero is not known.
-func (g *Gate) request(key flow.Key, budget, now time.Duration) waiter {
+// request returns the entry of a request among those that wait. Its caller had so much time left when it wrote the request;
+// zero is not known. A caller writes the first request of a flow before it opens the flow.
+func (g *Gate) request(key flow.Key, s *state, budget, now time.Duration) waiter {
 	r := g.routeOf(key.Service)
-	next := waiter{key: key, class: r.class, came: now, until: now + workLimit}
+	written := cmp.Or(s.sent, now)
+	next := waiter{key: key, class: r.class, came: written, until: written + workLimit}
 	if budget > 0 {
 		r.usual.note(budget)
-		next.until, next.usual = now+budget, &r.usual
+		next.until, next.usual = written+budget, &r.usual
 	}
 	return next
 }
--- a/targetgate/queue_test.go
+++ b/targetgate/queue_test.go
@@ -55,6 +55,23 @@
 	require.Equal(t, []int{204, 203, 202, 205, 201}, order)
 }
 
+// A caller writes the first request of a flow when it sends the first SYN: a copy of the SYN tells how long ago that was.
+func TestRequestOfARepeatedSynIsOlder(t *testing.T) {
+	g := targetgate.New()
+	fill(g, time.Second)
+	fresh, repeated := last(201, 0), last(202, 2)
+	fresh.Aim, repeated.Aim = 500*ms, 500*ms
+	open(t, g, fresh, 4*time.Second, time.Second)
+	open(t, g, repeated, 4*time.Second, time.Second+ms)
+	now := time.Second + 10*ms
+	g.FromTarget(keyOf(1), answer, now)
+	key, ok := g.NextRequest(now)
+	require.True(t, ok)
+	require.Equal(t, fresh.Key, key, "the other one is late")
+	g.Expire(time.Second + 3500*ms)
+	require.Zero(t, g.Waiting(), "its caller has given up 4 s after the first SYN")
+}
+
 func TestRequestOfAnOpenFlowWaitsToo(t *testing.T) {
 	g := targetgate.New()
 	taken := fill(g, time.Second)
