A target gets no request above its slots

The agent knows when a slot gets free before the target's own queue would need a request: it sits beside it. A request above the slots waits in that queue, behind which priority and age count nothing, and takes a tenth longer at four slots. Flows are accepted up to the slots and the reserve as before.

Tests of the gate fill all slots with requests and the reserve with flows that open; they ask the same of it as before.

--- a/targetgate/passing.go
+++ b/targetgate/passing.go
@@ -78,7 +78,7 @@
 }
 
 // isFree reports whether a slot is free for a request.
-func (g *Gate) isFree() bool { return len(g.busy)-g.stuck < g.limit() }
+func (g *Gate) isFree() bool { return len(g.busy)-g.stuck < g.slots }
 
 func (g *Gate) begin(key flow.Key, s *state, now time.Duration) {
 	s.phase, s.since = requestWork, now
