--- a/encap/encap.go
+++ b/encap/encap.go
@@ -16,6 +16,10 @@
 	MaxPath     = 15
 )
 
+// FailingHalfLife is the time in which the share of failed requests halves, at the agent that counts them and at balancers
+// that hear no more of it: so soon is a target that failed offered new flows again.
+const FailingHalfLife = 2 * time.Second
+
 // magic begins each header; its last half is the version of the format.
 const magic = 0xc103
 
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -65,6 +65,7 @@
 	probed    time.Duration
 	armed     bool // the timer for flows that wait runs
 	timerOut  *agentBoxes
+	closeOnce sync.Once
 	closed    chan struct{}
 }
 
@@ -115,7 +116,7 @@
 
 // Close ends Run.
 func (a *Agent) Close() {
-	close(a.closed)
+	a.closeOnce.Do(func() { close(a.closed) })
 	_ = a.tunnel.Close()
 	_ = a.outbound.Close()
 }
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -56,8 +56,9 @@
 	heldOut *outboxes  // for packets that were held
 	repeats *rate.Limiter
 
-	isolated atomic.Bool // no agent is reached
-	closed   chan struct{}
+	isolated  atomic.Bool // no agent is reached
+	closeOnce sync.Once
+	closed    chan struct{}
 
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
@@ -176,7 +177,7 @@
 	b.mu.Lock()
 	b.searched = searchedPackets{armed: true} // no timer starts any more
 	b.mu.Unlock()
-	close(b.closed)
+	b.closeOnce.Do(func() { close(b.closed) })
 	_ = b.packets.Close()
 	_ = b.tunnel.Close()
 }
--- a/forward/balancer_agents.go
+++ b/forward/balancer_agents.go
@@ -42,25 +42,20 @@
 func (b *Balancer) noteIsolation() bool {
 	b.mu.Lock()
 	isolated := b.dispatcher.Isolated(b.clock.now())
+	targets := b.dispatcher.View().TargetCount()
 	b.mu.Unlock()
 	if b.isolated.Swap(isolated) == isolated {
 		return isolated
 	}
 	if isolated {
-		b.config.Log.Warn("agents_lost", "targets", b.dispatcherTargets())
+		b.config.Log.Warn("agents_lost", "targets", targets)
 		isolations.Inc()
 	} else {
-		b.config.Log.Info("agents_regained")
+		b.config.Log.Info("agents_regained", "targets", targets)
 	}
 	return isolated
 }
 
-func (b *Balancer) dispatcherTargets() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.dispatcher.View().TargetCount()
-}
-
 // probeAgents asks the next few agents for a report.
 func (b *Balancer) probeAgents(out *outboxes, turn int) {
 	b.mu.Lock()
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipward/cowslipward/burn"
@@ -213,6 +214,29 @@
 	b.requireClean()
 }
 
+// Pattern: a balancer is cut off from all agents, while routers reach it. It says so, and when it reaches one again, which no
+// packet of a caller tells it, since routers keep those away.
+func TestBalancerThatReachesNoAgentIsNotReady(t *testing.T) {
+	b := newBed(t, 1, 2)
+	require.NoError(t, b.request(b.open(), "before"))
+	require.True(t, b.balancers[0].ReachesAgents())
+	for _, agent := range b.agents {
+		agent.Close()
+	}
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			_, err := b.caller.Open(context.Background(), serviceAddress)
+			assert.Error(t, err)
+		})
+	}
+	require.Eventually(t, func() bool { return !b.balancers[0].ReachesAgents() }, 2*time.Second, 10*time.Millisecond)
+	group.Wait()
+	b.startAgent(0)
+	require.Eventually(t, b.balancers[0].ReachesAgents, time.Second, 10*time.Millisecond)
+	b.requireClean()
+}
+
 // Pattern: a balancer joins, and the routers' hash by mod moves nearly all flows. No request may notice.
 func TestOpenFlowsMoveToABalancerThatDoesNotKnowThem(t *testing.T) {
 	b := newBed(t, 2, 7)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/encap"
 	"github.com/cowslipward/cowslipward/internal/decay"
 )
 
@@ -35,9 +36,6 @@
 	// share. A third of failures weighs as much as all slots at work, so that the target gets what others have no room for.
 	FailingFloor   = 0.1
 	failingPenalty = 3.0
-	// failingHalfLife is the time in which a reported share of failures halves. Where no report follows, since nothing is
-	// sent to the target, it is tried again.
-	failingHalfLife = 2 * time.Second
 )
 
 // load is what a balancer knows of the work of one target.
@@ -99,7 +97,7 @@
 	if held == nil {
 		return 0
 	}
-	return held.failing.At(now, failingHalfLife)
+	return held.failing.At(now, encap.FailingHalfLife)
 }
 
 // Refuses reports whether the target on the VM refused a new flow lately, not for lack of slots.
--- a/targetgate/failures.go
+++ b/targetgate/failures.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cowslipward/cowslipward/encap"
 	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/internal/decay"
 )
@@ -10,9 +11,6 @@
 const (
 	// failureWeight is the weight of a request in the share of those that fail.
 	failureWeight = 0.05
-	// FailureHalfLife is the time in which the share of failed requests halves where none fail. It is how soon a target that
-	// failed is offered new flows again.
-	FailureHalfLife = 2 * time.Second
 	// firstServerError is the lowest status that tells an error of the target.
 	firstServerError = 500
 	// tooManyRequests is the status of a target that refuses a request which its slots would have room for.
@@ -29,7 +27,7 @@
 	if failed {
 		outcome = 1
 	}
-	share := f.share.At(now, FailureHalfLife)
+	share := f.share.At(now, encap.FailingHalfLife)
 	f.share.Set(share+failureWeight*(outcome-share), now)
 }
 
@@ -39,4 +37,6 @@
 }
 
 // Failing returns the share of the target's requests that failed lately, from 0 to 1.
-func (g *Gate) Failing(now time.Duration) float64 { return g.failures.share.At(now, FailureHalfLife) }
+func (g *Gate) Failing(now time.Duration) float64 {
+	return g.failures.share.At(now, encap.FailingHalfLife)
+}
