--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -79,6 +79,11 @@
 	return c == CauseMissPending || c == CauseUnknownFlow || c == CauseCallerReset
 }
 
+// IsRefusal reports whether a new flow is refused though a configuration names its address.
+func (c Cause) IsRefusal() bool {
+	return c == CauseOverload || c == CauseNoTarget || c == CauseIsolated
+}
+
 // Decision is the outcome of one packet and what led to it.
 type Decision struct {
 	Outcome  Outcome
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -228,7 +228,11 @@
 		b.mu.Unlock()
 		return
 	}
-	p, err := platform.DecodeHeader(packet)
+	decode := platform.DecodePacket
+	if h.Searches {
+		decode = platform.DecodeHeader // the end of a path returns no data
+	}
+	p, err := decode(packet)
 	if err != nil {
 		droppedUnreadable.Inc()
 		return
--- a/forward/balancer_act.go
+++ b/forward/balancer_act.go
@@ -21,7 +21,7 @@
 	case dispatch.OutcomeReset:
 		to := flow.Endpoint{IP: key.Caller.IP, Port: b.config.Packets.Port()}
 		out.callers.sendOwned(to, platform.AppendReset(nil, key, d.Seq))
-		if d.Cause == dispatch.CauseOverload || d.Cause == dispatch.CauseNoTarget {
+		if d.Cause.IsRefusal() {
 			b.config.Outcomes.Record(d.Service, false)
 		}
 	}
--- a/targetgate/answers.go
+++ b/targetgate/answers.go
@@ -75,7 +75,9 @@
 		s.answer.took = now - s.since
 		g.work += time.Duration(workWeight * float64(s.answer.took-g.work))
 	}
-	g.end(key, s)
+	if s.phase != requestQueued { // else the data repeats the end of the answer before
+		g.end(key, s)
+	}
 	if s.answer.begins(p) {
 		took, s.answer.missing = s.answer.took, false
 		g.failures.note(isFailure(p), now)
--- a/targetgate/queue_test.go
+++ b/targetgate/queue_test.go
@@ -88,6 +88,22 @@
 	require.Equal(t, taken, g.Load())
 }
 
+// Pattern: an acknowledgement was lost, so that the target repeats the end of its last answer while the next request waits.
+func TestRepeatedAnswerDoesNotEndTheRequestThatWaits(t *testing.T) {
+	g := targetgate.New()
+	fill(g, time.Second)
+	g.FromTarget(keyOf(1), answer, time.Second)
+	open(t, g, last(100, 0), 0, time.Second)
+	_, step := g.FromCaller(keyOf(1), request(200), flow.Endpoint{}, time.Second)
+	require.Equal(t, targetgate.StepHold, step)
+	g.FromTarget(keyOf(1), answer, time.Second+200*ms)
+	require.Equal(t, 1, g.Waiting())
+	g.FromTarget(keyOf(2), answer, time.Second+210*ms)
+	key, ok := g.NextRequest(time.Second + 210*ms)
+	require.True(t, ok)
+	require.Equal(t, keyOf(1), key)
+}
+
 func TestRequestWaitsNoLongerThanItsCaller(t *testing.T) {
 	g := targetgate.New()
 	fill(g, time.Second)
