Processes that start together learn of each other within a moment

Its logs show two processes that confirm side by side for a second: the later one did not hear the reader, which did not know it. Its first hellos were lost, relays name peers once a second, and seeds are asked again after four.

Test: TestGroupsThatFormAtAStartMeetSoon.

--- a/viewsync/membership.go
+++ b/viewsync/membership.go
@@ -18,6 +18,10 @@
 	relaysPerDomain = 2
 	// seedPeriod is how often a relay that knows peers asks the seeds for others.
 	seedPeriod = 4 * time.Second
+	// youngLife is how long after its start a process says hello each youngPeriod, and a relay asks the seeds and names peers to
+	// the others with each. Where all processes start at once, the first messages of some are lost, and groups form that would
+	// not know of each other until the next ones, each with a reader of its own.
+	youngLife = 2 * time.Second
 	// listedPerDomain is how many peers of a failure domain a message names: its relays and those that would follow them.
 	listedPerDomain = 4
 )
@@ -39,6 +43,7 @@
 	peers  map[netip.AddrPort]peer
 	told   time.Duration // when the process last named the first peers of its domain to all others there
 	asked  time.Duration // when it last asked the seeds
+	young  time.Duration // until when the process counts as just started; 0: it has not said hello
 	passed passed
 }
 
@@ -142,7 +147,7 @@
 		return []envelope{{to: relays}}
 	}
 	envelopes := []envelope{{to: m.without(append(m.remoteRelays(domains), relays...), m.self), members: m.localList(domains, now)}}
-	if m.asked == 0 || len(m.peers) == 0 || now-m.asked >= seedPeriod {
+	if m.isYoung(now) || len(m.peers) == 0 || now-m.asked >= seedPeriod {
 		m.asked = now
 		envelopes = append(envelopes, envelope{to: m.without(m.seeds, m.self), asks: true, members: m.localList(domains, now)})
 	}
@@ -152,9 +157,21 @@
 	return envelopes
 }
 
+// isYoung reports whether the process started a moment ago, which the first call says.
+func (m *membership) isYoung(now time.Duration) bool {
+	if m.young == 0 {
+		m.young = now + youngLife
+	}
+	return now < m.young
+}
+
 // dueList returns the first peers of the own failure domain, where its other processes were not told of them lately.
 func (m *membership) dueList(domains map[uint32][]netip.AddrPort, now time.Duration) []listed {
-	if now-m.told < helloPeriod {
+	period := helloPeriod
+	if m.isYoung(now) {
+		period = youngPeriod
+	}
+	if now-m.told < period {
 		return nil
 	}
 	m.told = now
--- a/viewsync/membership_internal_test.go
+++ b/viewsync/membership_internal_test.go
@@ -230,3 +230,31 @@
 		require.LessOrEqual(t, node.sent+node.received, controlBytes*int(settleTime/time.Second))
 	}
 }
+
+// Pattern: all processes start at the same moment, and the seeds miss the first questions of some. Groups that formed must
+// meet before each of them has confirmed its own view for seconds.
+func TestGroupsThatFormAtAStartMeetSoon(t *testing.T) {
+	const domain = 1
+	now := time.Minute
+	seed := nodeAddress(0, 0)
+	m := newMembership(nodeAddress(0, 1), domain, []netip.AddrPort{seed})
+	asksSeed := func() bool {
+		for _, e := range m.hellos(now) {
+			if e.asks {
+				return true
+			}
+		}
+		return false
+	}
+	require.True(t, asksSeed())
+	m.learn(nodeAddress(0, 2), domain, nil, now) // another process that the seed does not know either
+	now += youngPeriod
+	require.True(t, asksSeed())
+	for range 10 {
+		now += helloPeriod
+		m.learn(nodeAddress(0, 2), domain, nil, now)
+		asksSeed()
+	}
+	now += youngPeriod
+	require.False(t, asksSeed(), "later the seeds are asked rarely")
+}
--- a/viewsync/peers.go
+++ b/viewsync/peers.go
@@ -143,10 +143,7 @@
 func (s *Syncer) runHello(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.hello()
-		period := helloPeriod
-		if s.Peers() == 0 {
-			period = lonelyPeriod
-		}
+		period := s.helloPeriod()
 		timer := time.NewTimer(period)
 		select {
 		case <-ctx.Done():
@@ -158,8 +155,27 @@
 	}
 }
 
-// lonelyPeriod is the time between two hellos of a process that knows no peer.
-const lonelyPeriod = 100 * time.Millisecond
+const (
+	// lonelyPeriod is the time between two hellos of a process that knows no peer, and youngPeriod that of one that started a
+	// moment ago.
+	lonelyPeriod = 100 * time.Millisecond
+	youngPeriod  = 200 * time.Millisecond
+)
+
+// helloPeriod returns the time until the next hello.
+func (s *Syncer) helloPeriod() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.Now()
+	switch {
+	case s.members.live(now) == 0:
+		return lonelyPeriod
+	case s.members.isYoung(now):
+		return youngPeriod
+	default:
+		return helloPeriod
+	}
+}
 
 // regroupPause is the least time between two hellos.
 const regroupPause = 50 * time.Millisecond
