Count a request without an answer once, and each threshold in one place

Cause: a request that had no answer for a second counted as failed, and once more with its late answer: as a success where the answer came at last, so that a target that answers everything too late looked half well. The lowest status of a server error stood in two packages, the search for a target's load ran three times for one cost, and a balancer that is cut off sorted all agents each 100 ms.

Ruled out: leaving a late answer as a success. Its caller has given up or is about to.

Conclusion: the outcome of a request is taken once (TestAnswerThatComesTooLate- IsOneFailure fails without it in each of its four cases).

--- a/flow/flow.go
+++ b/flow/flow.go
@@ -80,6 +80,9 @@
 	Status int
 }
 
+// FirstServerError is the lowest status that tells an error of the target.
+const FirstServerError = 500
+
 // Opens reports whether a caller's packet asks for a new flow.
 func (p *Packet) Opens() bool { return p.Syn && !p.AckFlag && !p.Reset }
 
--- a/forward/agent_outcomes.go
+++ b/forward/agent_outcomes.go
@@ -9,16 +9,13 @@
 	"github.com/cowslipward/cowslipward/placement"
 )
 
-// firstServerError is the lowest status that tells an error of the target.
-const firstServerError = 500
-
 // answered counts the first bytes of an answer.
 func (a *Agent) answered(key flow.Key, status int, took time.Duration) {
 	answerTime.Update(took.Seconds())
 	answers[status/100].Inc()
 	objective, known := a.gate.Objective(key.Service)
-	a.config.Outcomes.Record(a.config.Service, status < firstServerError && (!known || took <= objective))
-	if status >= firstServerError || took > slowAnswer {
+	a.config.Outcomes.Record(a.config.Service, status < flow.FirstServerError && (!known || took <= objective))
+	if status >= flow.FirstServerError || took > slowAnswer {
 		a.logFlow("request_answered", key, "status", status, "took", took, "load", a.gate.Load())
 	}
 }
--- a/forward/balancer_agents.go
+++ b/forward/balancer_agents.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/encap"
 	"github.com/cowslipward/cowslipward/flow"
 )
@@ -25,15 +26,15 @@
 func (b *Balancer) watchAgents() {
 	ticker := time.NewTicker(reachCheck)
 	defer ticker.Stop()
-	out := b.newOutboxes()
-	for turn := 0; ; turn++ {
+	asked := reachProbes{out: b.newOutboxes()}
+	for {
 		select {
 		case <-b.closed:
 			return
 		case <-ticker.C:
 		}
 		if b.noteIsolation() {
-			b.probeAgents(out, turn)
+			b.probeAgents(&asked)
 		}
 	}
 }
@@ -56,17 +57,37 @@
 	return isolated
 }
 
+// reachProbes goes through the agents of a view in turns.
+type reachProbes struct {
+	out       *outboxes
+	view      *directory.View
+	addresses [][4]byte
+	next      int
+}
+
+// take returns the next few agents of the view.
+func (p *reachProbes) take(view *directory.View) [][4]byte {
+	if p.view != view {
+		p.view, p.addresses = view, view.Addresses()
+	}
+	taken := make([][4]byte, min(probesPerCheck, len(p.addresses)))
+	for i := range taken {
+		taken[i] = p.addresses[p.next%len(p.addresses)]
+		p.next++
+	}
+	return taken
+}
+
 // probeAgents asks the next few agents for a report.
-func (b *Balancer) probeAgents(out *outboxes, turn int) {
+func (b *Balancer) probeAgents(p *reachProbes) {
 	b.mu.Lock()
-	addresses := b.dispatcher.View().Addresses()
+	view := b.dispatcher.View()
 	b.mu.Unlock()
 	h := encap.Header{Kind: encap.KindProbe}
-	for i := range min(probesPerCheck, len(addresses)) {
-		next := addresses[(turn*probesPerCheck+i)%len(addresses)]
-		out.agents.wrap(flow.Endpoint{IP: next, Port: b.config.Tunnel.Port()}, &h, nil)
+	for _, address := range p.take(view) {
+		p.out.agents.wrap(flow.Endpoint{IP: address, Port: b.config.Tunnel.Port()}, &h, nil)
 	}
-	out.flush()
+	p.out.flush()
 }
 
 var isolations = metrics.NewCounter("cowslip_agents_lost_total")
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -97,7 +97,11 @@
 	if held == nil {
 		return 0
 	}
-	return held.failing.At(now, encap.FailingHalfLife)
+	return held.failedShare(now)
+}
+
+func (l *load) failedShare(now time.Duration) float64 {
+	return l.failing.At(now, encap.FailingHalfLife)
 }
 
 // Refuses reports whether the target on the VM refused a new flow lately, not for lack of slots.
@@ -168,11 +172,11 @@
 		return penalty(t, false)
 	}
 	work := held.mean + held.recentFlows(now) + float64(held.waiting)
-	cost := work/float64(t.Slots) + penalty(t, l.Silent(t.Address.IP, now))
+	cost := work/float64(t.Slots) + penalty(t, held.isSilent(now))
 	if held.refuses(now) {
 		cost += refusedPenalty
 	}
-	if share := l.FailedShare(t.Address.IP, now); share >= FailingFloor {
+	if share := held.failedShare(now); share >= FailingFloor {
 		cost += failingPenalty * share
 	}
 	return cost
@@ -181,7 +185,11 @@
 // Silent reports whether the target on the VM, or its agent, does not answer.
 func (l *Loads) Silent(ip [4]byte, now time.Duration) bool {
 	held := l.byIP[ip]
-	return held != nil && (held.silent || (held.owed != 0 && now-held.owed > silenceLimit))
+	return held != nil && held.isSilent(now)
+}
+
+func (l *load) isSilent(now time.Duration) bool {
+	return l.silent || (l.owed != 0 && now-l.owed > silenceLimit)
 }
 
 func penalty(t *directory.Target, silent bool) float64 {
--- a/targetgate/answers.go
+++ b/targetgate/answers.go
@@ -13,10 +13,11 @@
 	first   uint32 // number with which the answer begins
 	took    time.Duration
 	missing bool // the first bytes have not passed
+	told    bool // the outcome of the request is counted
 }
 
 // expect notes that a request begins.
-func (a *answer) expect() { a.first, a.took, a.missing = a.next, 0, true }
+func (a *answer) expect() { a.first, a.took, a.missing, a.told = a.next, 0, true, false }
 
 // sent takes over the end of what the target sent.
 func (a *answer) sent(end uint32) {
@@ -55,14 +56,14 @@
 	switch {
 	case p.Reset:
 		if s.phase == requestWork {
-			g.failures.note(true, now)
+			g.noteOutcome(s, true, now)
 		}
 		g.lose(key, s)
 		g.flows.Delete(key)
 	case p.DataLen > 0:
 		took = g.answered(key, s, p, now)
 	case p.Fin && s.phase == requestWork && s.answer.begins(p):
-		g.failures.note(true, now)
+		g.noteOutcome(s, true, now)
 		g.lose(key, s)
 	}
 	return asker, took
@@ -80,7 +81,7 @@
 	}
 	if s.answer.begins(p) {
 		took, s.answer.missing = s.answer.took, false
-		g.failures.note(isFailure(p), now)
+		g.noteOutcome(s, isFailure(p), now)
 	}
 	s.answer.sent(p.Seq + uint32(p.DataLen))
 	return took
--- a/targetgate/failures.go
+++ b/targetgate/failures.go
@@ -11,8 +11,6 @@
 const (
 	// failureWeight is the weight of a request in the share of those that fail.
 	failureWeight = 0.05
-	// firstServerError is the lowest status that tells an error of the target.
-	firstServerError = 500
 	// tooManyRequests is the status of a target that refuses a request which its slots would have room for.
 	tooManyRequests = 429
 )
@@ -31,9 +29,19 @@
 	f.share.Set(share+failureWeight*(outcome-share), now)
 }
 
+// noteOutcome takes over how the request of a flow ended, once: one that has no answer for long has failed, whatever comes
+// later.
+func (g *Gate) noteOutcome(s *state, failed bool, now time.Duration) {
+	if s.answer.told {
+		return
+	}
+	s.answer.told = true
+	g.failures.note(failed, now)
+}
+
 // isFailure reports whether the packet of a target begins an answer that tells a failure of the target.
 func isFailure(p *flow.Packet) bool {
-	return p.Status >= firstServerError || p.Status == tooManyRequests
+	return p.Status >= flow.FirstServerError || p.Status == tooManyRequests
 }
 
 // Failing returns the share of the target's requests that failed lately, from 0 to 1.
--- a/targetgate/failures_test.go
+++ b/targetgate/failures_test.go
@@ -87,6 +87,28 @@
 	require.Equal(t, taken, g.Load(), "an answer may still come")
 }
 
+// Pattern: a slow target answers each request after its caller's patience: none of them is a success.
+func TestAnswerThatComesTooLateIsOneFailure(t *testing.T) {
+	late := time.Second + 1200*ms
+	for name, reply := range map[string]*flow.Packet{
+		"answer": {AckFlag: true, DataLen: 500, Status: 200},
+		"error":  {AckFlag: true, DataLen: 500, Status: 500},
+		"reset":  {Reset: true},
+		"end":    {AckFlag: true, Fin: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := targetgate.New()
+			g.Offer(offer(1), time.Second)
+			g.FromCaller(keyOf(1), request(1), flow.Endpoint{}, time.Second)
+			g.Expire(late)
+			failed := g.Failing(late)
+			require.NotZero(t, failed)
+			g.FromTarget(keyOf(1), reply, late)
+			require.InDelta(t, failed, g.Failing(late), 1e-9)
+		})
+	}
+}
+
 // Pattern: the packets of a short answer pass in the opposite order, the FIN first.
 func TestAnswerWhosePacketsPassInAnyOrder(t *testing.T) {
 	status := &flow.Packet{AckFlag: true, Seq: 7001, DataLen: 150, Status: 500}
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -196,7 +196,7 @@
 		case age > stuckLimit && !s.stuck:
 			s.stuck = true
 			g.stuck++
-			g.failures.note(true, now)
+			g.noteOutcome(s, true, now)
 		}
 	}
 	for len(g.cold) > 0 && now-g.cold[0] >= time.Second {
--- a/targetgate/passing.go
+++ b/targetgate/passing.go
@@ -31,8 +31,8 @@
 	}
 	switch {
 	case p.Reset:
-		if s.phase == requestWork && !s.stuck {
-			g.failures.note(true, now)
+		if s.phase == requestWork {
+			g.noteOutcome(s, true, now)
 		}
 		g.end(key, s)
 	case asker.IsValid() && !known:
