--- /dev/null
+++ b/dispatch/fleet_test.go
@@ -0,0 +1,123 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/dispatch"
+	"github.com/cowslipward/cowslipward/encap"
+	"github.com/cowslipward/cowslipward/flow"
+)
+
+const (
+	domainA = "leinster-a"
+	domainB = "leinster-b"
+	service = "bench"
+)
+
+var serviceAddress = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 8443}
+
+// fleet builds views of a deployment and changes them.
+type fleet struct {
+	t        *testing.T
+	dir      *directory.Directory
+	revision uint64
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, dir: directory.New()}
+	f.config(1, service)
+	return f
+}
+
+func (f *fleet) config(version int64, name string) {
+	f.apply(directory.Record{Kind: directory.KindConfig, Config: &directory.Config{
+		Version: version,
+		Routes: []directory.Route{{
+			Name: "r-1", Address: serviceAddress, Choices: []directory.Choice{{Service: name, Weight: 1}},
+			Objective: 250 * time.Millisecond, Priority: 2,
+		}},
+		Services: []directory.Service{{Name: name}},
+	}})
+}
+
+func (f *fleet) apply(r directory.Record) {
+	f.revision++
+	r.Revision = f.revision
+	f.dir.Apply(&r, 0)
+	f.dir.Advance(f.revision)
+}
+
+// target adds target n, or changes its state.
+func (f *fleet) target(n int, domain string, state directory.TargetState) {
+	id := fmt.Sprintf("i-%d", n)
+	f.apply(directory.Record{Kind: directory.KindTarget, Name: id, Target: &directory.Target{
+		ID: id, Service: service, Address: flow.Endpoint{IP: ip(n), Port: 8080}, Domain: domain, Slots: 9, State: state,
+	}})
+}
+
+func (f *fleet) out(domain string, out bool) {
+	f.apply(directory.Record{Kind: directory.KindOut, Name: domain, Removed: !out})
+}
+
+func ip(n int) [4]byte { return [4]byte{10, 0, 0, byte(n)} }
+
+func syn(port uint16, copies int) *flow.Packet {
+	return &flow.Packet{From: caller(port), To: serviceAddress, Syn: true, Ack: uint32(copies), Copy: copies}
+}
+
+func data(port uint16) *flow.Packet {
+	return &flow.Packet{From: caller(port), To: serviceAddress, AckFlag: true, Ack: 4711, DataLen: 100}
+}
+
+func caller(port uint16) flow.Endpoint { return flow.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: port} }
+
+// deliver hands a packet to the targets as the fleet would until one that holds the flow takes it. silent targets answer
+// nothing. It returns the last decision and the number of targets that saw the packet in vain.
+func deliver(d *dispatch.Dispatcher, p *flow.Packet, holder [4]byte, now time.Duration, silent ...[4]byte) (dispatch.Decision, int) {
+	decision := d.FromCaller(p, now)
+	visits := 0
+	for decision.Outcome == dispatch.OutcomeForward && decision.Target.Address.IP != holder {
+		if slices.Contains(silent, decision.Target.Address.IP) {
+			return decision, visits
+		}
+		visits++
+		h := &encap.Header{Kind: encap.KindReturn, Reason: encap.ReasonRefused, Attempt: decision.Header.Attempt}
+		decision = d.Returned(decision.Target.Address.IP, h, p, now)
+	}
+	if decision.Outcome == dispatch.OutcomeSearch {
+		return walk(d, p, &decision, holder, now, silent)
+	}
+	return decision, visits
+}
+
+// walk hands a packet along the paths of a search.
+func walk(d *dispatch.Dispatcher, p *flow.Packet, search *dispatch.Decision, holder [4]byte, now time.Duration, silent [][4]byte) (dispatch.Decision, int) {
+	last, visits, found := *search, 0, false
+	for _, path := range slices.Clone(search.Paths) {
+		h := path.Header
+		at, more := path.First.Address.IP, true
+		for more && at != holder && !slices.Contains(silent, at) {
+			visits++
+			at, more = h.Path.Next()
+		}
+		switch {
+		case !more:
+			answer := &encap.Header{Kind: encap.KindReturn, Reason: encap.ReasonRefused, Searches: true, Round: h.Round}
+			last = d.Returned(path.First.Address.IP, answer, p, now)
+		case at == holder:
+			found = true
+			d.Found(holder, &encap.Header{Kind: encap.KindFound}, p, now)
+		}
+	}
+	if found {
+		return d.FromCaller(p, now), visits
+	}
+	return last, visits
+}
+
+// seconds makes times of tests easy to read. Steady times begin above zero.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/feed/harness_test.go
+++ b/feed/harness_test.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"os"
 	"slices"
-	"strconv"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,104 +23,6 @@
 	"github.com/cowslipward/cowslipward/settings"
 )
 
-// fakePlatform answers blocking queries for the rule file and the VM list.
-type fakePlatform struct {
-	server *httptest.Server
-
-	mu       sync.Mutex
-	changed  chan struct{}
-	text     string
-	revision uint64
-	list     []map[string]string
-	index    uint64
-	down     bool
-	reads    int
-}
-
-func newFakePlatform(t *testing.T) *fakePlatform {
-	p := &fakePlatform{changed: make(chan struct{}), index: 1}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/kv/", p.serveRules)
-	mux.HandleFunc("GET /v1/vms", p.serveList)
-	p.server = httptest.NewServer(mux)
-	t.Cleanup(func() {
-		p.change(func() { p.down = true }) // ends the queries that wait
-		p.server.CloseClientConnections()
-		p.server.Close()
-	})
-	return p
-}
-
-// await waits until the state is above the index of the request, as a blocking query does.
-func (p *fakePlatform) await(r *http.Request, current func() uint64) bool {
-	index, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
-	timeout := time.After(30 * time.Second)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reads++
-	for index > 0 && current() == index && !p.down {
-		changed := p.changed
-		p.mu.Unlock()
-		select {
-		case <-changed:
-		case <-timeout:
-			index = 0
-		case <-r.Context().Done():
-			index = 0
-		}
-		p.mu.Lock()
-	}
-	return !p.down
-}
-
-func (p *fakePlatform) serveRules(w http.ResponseWriter, r *http.Request) {
-	if !p.await(r, func() uint64 { return p.revision }) {
-		http.Error(w, "down", http.StatusInternalServerError)
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	w.Header().Set("X-Consul-Index", strconv.FormatUint(p.revision, 10))
-	value := base64.StdEncoding.EncodeToString([]byte(p.text))
-	_ = json.NewEncoder(w).Encode([]map[string]any{{"Value": value, "ModifyIndex": p.revision}})
-}
-
-func (p *fakePlatform) serveList(w http.ResponseWriter, r *http.Request) {
-	if !p.await(r, func() uint64 { return p.index }) {
-		http.Error(w, "down", http.StatusInternalServerError)
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	domain := r.URL.Query().Get("domain")
-	vms := []map[string]string{}
-	for _, vm := range p.list {
-		if domain == "" || vm["failure_domain"] == domain {
-			vms = append(vms, vm)
-		}
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"index": p.index, "vms": vms})
-}
-
-// change alters the state and wakes those who wait.
-func (p *fakePlatform) change(do func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	do()
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
-func (p *fakePlatform) setRules(revision uint64, text string) {
-	p.change(func() { p.revision, p.text = revision, text })
-}
-
-func (p *fakePlatform) readCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reads
-}
-
 // process is a feed with its control listener.
 type process struct {
 	vm     fleet.VM
--- a/test/capacity/world.go
+++ b/test/capacity/world.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cowslipward/cowslipward/fleet"
@@ -51,59 +46,6 @@
 	counters counters
 }
 
-// counters count what crosses the edge of the measured process, in bytes of TCP payload.
-type counters struct {
-	FromMeasured atomic.Int64
-	ToMeasured   atomic.Int64
-	Reads        atomic.Int64 // queries to the platform
-	Reports      atomic.Int64
-	Changes      atomic.Int64
-	Revisions    atomic.Int64
-}
-
-// snapshot is a reading of the counters.
-type snapshot struct {
-	FromMeasured, ToMeasured, Reads, Reports, Changes, Revisions int64
-}
-
-func (c *counters) read() snapshot {
-	return snapshot{
-		FromMeasured: c.FromMeasured.Load(), ToMeasured: c.ToMeasured.Load(), Reads: c.Reads.Load(),
-		Reports: c.Reports.Load(), Changes: c.Changes.Load(), Revisions: c.Revisions.Load(),
-	}
-}
-
-// countingConn counts the bytes of a connection of the measured process, seen from the other end.
-type countingConn struct {
-	net.Conn
-	c *counters
-}
-
-func (c *countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.c.FromMeasured.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.c.ToMeasured.Add(int64(n))
-	return n, err
-}
-
-type countingListener struct {
-	net.Listener
-	c *counters
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, c: l.c}, nil
-}
-
 // startWorld starts everything and returns once the listeners are bound.
 func startWorld(ctx context.Context, p plan) (*world, error) {
 	store, err := keys.Open(p.KeyDir)
@@ -249,61 +191,6 @@
 	return w.set, w.before, w.changed
 }
 
-// platformHandler serves the platform's protocols and the counters.
-func (w *world) platformHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/kv/", w.serveRules)
-	mux.HandleFunc("GET /v1/vms", w.serveList)
-	mux.HandleFunc("GET /counters", func(out http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(out).Encode(w.counters.read())
-	})
-	return mux
-}
-
-// await holds a query with an index until the rules have a higher one.
-func (w *world) await(r *http.Request, once bool) {
-	w.counters.Reads.Add(1)
-	index, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
-	timeout := time.After(30 * time.Second)
-	for index > 0 {
-		set, _, changed := w.rules()
-		if !once && uint64(set.Revision) > index {
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout:
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func (w *world) serveRules(out http.ResponseWriter, r *http.Request) {
-	w.await(r, false)
-	set, _, _ := w.rules()
-	out.Header().Set("X-Consul-Index", strconv.FormatUint(uint64(set.Revision), 10))
-	value := base64.StdEncoding.EncodeToString([]byte(set.Text))
-	_ = json.NewEncoder(out).Encode([]map[string]any{{"Value": value, "ModifyIndex": set.Revision}})
-}
-
-func (w *world) serveList(out http.ResponseWriter, r *http.Request) {
-	w.await(r, true)
-	roles := map[fleet.Role]string{fleet.RoleBalancer: "balancer", fleet.RoleTarget: "target"}
-	domain := r.URL.Query().Get("domain")
-	list := []map[string]string{}
-	for _, vm := range w.model.vms {
-		if domain == "" || vm.FailureDomain == domain {
-			list = append(list, map[string]string{
-				"name": vm.Name, "failure_domain": vm.FailureDomain, "role": roles[vm.Role], "state": "live",
-				"data": vm.Data.String(), "control": vm.Control.String(), "admin": vm.Admin.String(),
-			})
-		}
-	}
-	_ = json.NewEncoder(out).Encode(map[string]any{"index": 1, "vms": list})
-}
-
 func (w *world) String() string {
 	return fmt.Sprintf("%d VMs, %d relays a domain, %d subscribers", w.plan.VMs, w.plan.Relays, w.plan.Subscribers)
 }
