One comparison with a plain relay for both data paths; one dispatcher of the tests

The benchmarks of the balancer and of the packet path each had their own sockets, meter and figures for a plain relay; both use test/relaybench. The tests of dispatch built the same dispatcher in 22 places.

--- a/balancer/bench_test.go
+++ b/balancer/bench_test.go
@@ -6,10 +6,8 @@
 	"net/netip"
 	"runtime"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"github.com/cowslipward/cowslipward/connid"
 	"github.com/cowslipward/cowslipward/fleet"
@@ -17,6 +15,7 @@
 	"github.com/cowslipward/cowslipward/internal/udpbatch"
 	"github.com/cowslipward/cowslipward/keys"
 	"github.com/cowslipward/cowslipward/rules"
+	"github.com/cowslipward/cowslipward/test/relaybench"
 	"github.com/cowslipward/cowslipward/wire"
 )
 
@@ -41,8 +40,8 @@
 	require.NoError(tb, keys.Generate(dir, nil, nil))
 	store, err := keys.Open(dir)
 	require.NoError(tb, err)
-	r := &rig{tb: tb, sink: listen(tb), source: listen(tb), writer: udpbatch.NewWriter(), batch: udpbatch.GetBatch()}
-	go drain(r.sink)
+	r := &rig{tb: tb, sink: relaybench.Listen(tb, anyPort), source: relaybench.Listen(tb, anyPort), writer: udpbatch.NewWriter(), batch: udpbatch.GetBatch()}
+	go relaybench.Drain(r.sink)
 	set := rules.NewSet(1, []rules.Service{{ID: 1, Name: "bench", Pool: []string{"*"}, Address: anyPort}},
 		[]rules.Domain{{ID: 1, Name: "a"}}, nil)
 	vm := fleet.VM{Name: "bench-1", FailureDomain: "a", Role: fleet.RoleTarget, Data: r.sink.Address()}
@@ -52,7 +51,7 @@
 	r.balancer, err = Open(Config{VM: "entry-1", Domain: "a", Listen: anyPort, Keys: store, Source: fleet.NewStatic(view)})
 	require.NoError(tb, err)
 	tb.Cleanup(func() { _ = r.balancer.Close() })
-	r.listener = &listener{service: 1, conn: listen(tb)}
+	r.listener = &listener{service: 1, conn: relaybench.Listen(tb, anyPort)}
 	r.ids = r.balancer.link.Codecs().ID
 	for i := range r.packets {
 		r.packets[i] = make([]byte, size)
@@ -61,22 +60,6 @@
 	return r
 }
 
-func listen(tb testing.TB) *udpbatch.Conn {
-	conn, err := udpbatch.Listen(anyPort)
-	require.NoError(tb, err)
-	tb.Cleanup(func() { _ = conn.Close() })
-	return conn
-}
-
-func drain(conn *udpbatch.Conn) {
-	batch := udpbatch.GetBatch()
-	for {
-		if _, err := conn.Read(batch); err != nil {
-			return
-		}
-	}
-}
-
 // establish makes packet i one of an established flow.
 func (r *rig) establish(i int, counter uint32) {
 	r.packets[i][0] = 0x40
@@ -99,27 +82,6 @@
 	require.Equal(r.tb, udpbatch.Size, r.writer.Flush(from))
 }
 
-// cpu returns the CPU time of this thread.
-func cpu() time.Duration {
-	var usage unix.Rusage
-	_ = unix.Getrusage(unix.RUSAGE_THREAD, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
-// meter measures packets and the CPU time of their processing.
-type meter struct {
-	packets int
-	busy    time.Duration
-}
-
-func (m *meter) run(process func() int) {
-	start := cpu()
-	m.packets += process()
-	m.busy += cpu() - start
-}
-
-func (m *meter) rate() float64 { return float64(m.packets) / m.busy.Seconds() }
-
 // relay is the baseline: a plain relay with a fixed destination and the same batching.
 func (r *rig) relay(in, out *udpbatch.Conn, w *udpbatch.Writer) int {
 	n, err := in.Read(r.batch)
@@ -145,32 +107,26 @@
 			runtime.LockOSThread()
 			defer runtime.UnlockOSThread()
 			r := newRig(b, size)
-			in, out, w := listen(b), listen(b), udpbatch.NewWriter()
-			var forwarded, relayed meter
+			in, out, w := relaybench.Listen(b, anyPort), relaybench.Listen(b, anyPort), udpbatch.NewWriter()
+			var forwarded, relayed relaybench.Meter
 			b.ReportAllocs()
-			for forwarded.packets < b.N {
+			for forwarded.Packets < b.N {
 				r.feed(r.source, r.listener.conn)
-				forwarded.run(r.forward)
+				forwarded.Run(r.forward)
 				r.feed(r.source, in)
-				relayed.run(func() int { return r.relay(in, out, w) })
+				relayed.Run(func() int { return r.relay(in, out, w) })
 			}
-			report(b, &forwarded, &relayed)
+			relaybench.Report(b, &forwarded, &relayed)
 		})
 	}
 }
 
-func report(b *testing.B, path, relay *meter) {
-	b.ReportMetric(path.rate(), "pkts/s/core")
-	b.ReportMetric(relay.rate(), "relay-pkts/s/core")
-	b.ReportMetric(path.rate()/relay.rate(), "of-relay")
-}
-
 // BenchmarkReply is BenchmarkForward for the way back.
 func BenchmarkReply(b *testing.B) {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	r := newRig(b, 1200)
-	tunnel, in, out, w := listen(b), listen(b), listen(b), udpbatch.NewWriter()
+	tunnel, in, out, w := relaybench.Listen(b, anyPort), relaybench.Listen(b, anyPort), relaybench.Listen(b, anyPort), udpbatch.NewWriter()
 	back := &replier{balancer: r.balancer, writer: udpbatch.NewWriter()}
 	bodies := r.packets
 	var replies [udpbatch.Size][]byte
@@ -178,9 +134,9 @@
 		replies[i] = make([]byte, 0, wire.MaxPacket)
 	}
 	h := wire.Header{Kind: wire.Reply, Service: 1, Revision: 1, Sender: r.sink.Address(), Caller: r.sink.Address()}
-	var replied, relayed meter
+	var replied, relayed relaybench.Meter
 	b.ReportAllocs()
-	for replied.packets < b.N {
+	for replied.Packets < b.N {
 		h.Sequence = r.balancer.link.Sequence(udpbatch.Size)
 		for i := range r.packets {
 			packet := r.balancer.link.Codecs().Wire.Append(replies[i], &h, nil)
@@ -189,7 +145,7 @@
 		}
 		r.feed(r.source, tunnel)
 		r.packets = bodies
-		replied.run(func() int {
+		replied.Run(func() int {
 			n, err := tunnel.Read(r.batch)
 			require.NoError(b, err)
 			back.collect(r.batch, n)
@@ -197,10 +153,10 @@
 			return n
 		})
 		r.feed(r.source, in)
-		relayed.run(func() int { return r.relay(in, out, w) })
+		relayed.Run(func() int { return r.relay(in, out, w) })
 	}
 	require.Zero(b, r.balancer.link.Counts.Dropped(link.DropReplayed))
-	report(b, &replied, &relayed)
+	relaybench.Report(b, &replied, &relayed)
 }
 
 // BenchmarkNewFlow measures packets that open flows, with one target.
@@ -208,17 +164,17 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	r := newRig(b, 1200)
-	var opened meter
+	var opened relaybench.Meter
 	b.ReportAllocs()
-	for flow := uint64(0); opened.packets < b.N; {
+	for flow := uint64(0); opened.Packets < b.N; {
 		for i := range r.packets {
 			flow++
 			r.open(i, flow)
 		}
 		r.feed(r.source, r.listener.conn)
-		opened.run(r.forward)
+		opened.Run(r.forward)
 	}
-	b.ReportMetric(opened.rate(), "pkts/s/core")
+	b.ReportMetric(opened.Rate(), "pkts/s/core")
 }
 
 // heap returns the bytes in use after a collection.
@@ -254,7 +210,7 @@
 			r := newRig(b, 1200)
 			callers := make([]*udpbatch.Conn, 100)
 			for i := range callers {
-				callers[i] = listen(b)
+				callers[i] = relaybench.Listen(b, anyPort)
 			}
 			r.flows(1000, callers)
 			var kept int64
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -20,8 +20,7 @@
 			Domain: []string{domainA, domainB}[n%2], Slots: 9, State: directory.TargetReady,
 		}})
 	}
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	return d
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -19,8 +19,7 @@
 		f.target(n, domainA, directory.TargetReady)
 		f.target(n+10, domainB, directory.TargetReady)
 	}
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	for port := uint16(1); port <= 6; port++ {
 		decision := d.FromCaller(syn(port, 0), seconds(1))
 		require.Equal(t, dispatch.OutcomeForward, decision.Outcome)
@@ -32,8 +31,7 @@
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
 	f.target(2, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	first := d.FromCaller(syn(1, 0), seconds(1))
 	second := d.FromCaller(syn(1, 1), seconds(1.2))
 	require.NotEqual(t, first.Target.ID, second.Target.ID, "the first target may be dead")
@@ -44,8 +42,7 @@
 	f.target(1, domainA, directory.TargetDraining)
 	f.target(2, domainB, directory.TargetReady)
 	f.out(domainB, true)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	decision := d.FromCaller(syn(1, 0), seconds(1))
 	require.Equal(t, dispatch.OutcomeReset, decision.Outcome, "what cannot be served is refused at once")
 	require.Equal(t, dispatch.CauseNoTarget, decision.Cause)
@@ -53,8 +50,7 @@
 
 func TestRefusalNeedsAFreshView(t *testing.T) {
 	f := newFleet(t)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	decision := d.FromCaller(syn(1, 0), seconds(9))
 	require.Equal(t, dispatch.OutcomeDrop, decision.Outcome, "a view of eight seconds ago may lack new targets")
 }
@@ -89,8 +85,7 @@
 func TestRemovedRouteDropsItsFlows(t *testing.T) {
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	deliver(d, data(1), ip(1), seconds(1))
 	f.apply(directory.Record{Kind: directory.KindConfig, Config: &directory.Config{Version: 2}})
 	d.SetView(f.dir.View(), seconds(2), seconds(2))
@@ -101,8 +96,7 @@
 func TestFlowOutlivesAChangeOfItsRoute(t *testing.T) {
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	f.config(2, "archive")
 	d.SetView(f.dir.View(), seconds(2), seconds(2))
 	decision, _ := deliver(d, data(1), ip(1), seconds(2))
@@ -112,11 +106,8 @@
 
 func TestBusyTargetsMakeAFlowWaitOnce(t *testing.T) {
 	f := newFleet(t)
-	for n := 1; n <= 3; n++ {
-		f.target(n, domainA, directory.TargetReady)
-	}
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	f.targets(3)
+	d := f.dispatcher()
 	p := syn(1, 0)
 	decision := d.FromCaller(p, seconds(1))
 	offers := map[string]bool{}
@@ -145,8 +136,7 @@
 func TestPacketsComeBackABoundedNumberOfTimes(t *testing.T) {
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	d.FromCaller(data(1), seconds(1))
 	h := &encap.Header{Kind: encap.KindReturn, Attempt: 255}
 	require.Equal(t, dispatch.CauseTooManyHops, d.Returned(ip(1), h, data(1), seconds(1)).Cause)
@@ -155,8 +145,7 @@
 func TestPacketsThatNoCallerSendsAreDropped(t *testing.T) {
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	returned := data(1)
 	returned.Returned = true
 	require.Equal(t, dispatch.OutcomeDrop, d.FromCaller(returned, seconds(1)).Outcome)
@@ -212,8 +201,7 @@
 		f.target(n, domainB, directory.TargetReady)
 	}
 	f.target(9, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	play := func(from, until float64) {
 		for now := from; now < until; now += 0.02 {
 			d.FromCaller(syn(uint16(1000*now), 0), seconds(now))
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -59,6 +59,20 @@
 	}})
 }
 
+// targets adds ready targets of domain A with the numbers from 1 on.
+func (f *fleet) targets(count int) {
+	for n := 1; n <= count; n++ {
+		f.target(n, domainA, directory.TargetReady)
+	}
+}
+
+// dispatcher returns one of domain A that keeps flows and has the view of the first second.
+func (f *fleet) dispatcher() *dispatch.Dispatcher {
+	d := dispatch.New(domainA, dispatch.KeepFlows)
+	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	return d
+}
+
 func (f *fleet) out(domain string, out bool) {
 	f.apply(directory.Record{Kind: directory.KindOut, Name: domain, Removed: !out})
 }
--- a/dispatch/search_test.go
+++ b/dispatch/search_test.go
@@ -14,11 +14,8 @@
 // A routers' hash by mod moves nearly all flows when a balancer joins: each is searched once.
 func TestUnknownFlowIsSearchedOnce(t *testing.T) {
 	f := newFleet(t)
-	for n := 1; n <= 7; n++ {
-		f.target(n, domainA, directory.TargetReady)
-	}
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	f.targets(7)
+	d := f.dispatcher()
 	for holder := 1; holder <= 7; holder++ {
 		port := uint16(holder)
 		decision, visits := deliver(d, data(port), ip(holder), seconds(1))
@@ -35,8 +32,7 @@
 	f.target(2, domainA, directory.TargetDraining)
 	f.target(3, domainB, directory.TargetReady)
 	f.out(domainB, true)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	for holder := 1; holder <= 3; holder++ {
 		decision, _ := deliver(d, data(uint16(holder)), ip(holder), seconds(30))
 		require.Equal(t, dispatch.OutcomeForward, decision.Outcome, "target %d", holder)
@@ -47,8 +43,7 @@
 func TestResetNeedsAViewConfirmedAfterTheMiss(t *testing.T) {
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	nobody := [4]byte{}
 	decision, _ := deliver(d, data(1), nobody, seconds(1.1))
 	require.Equal(t, dispatch.CauseMissPending, decision.Cause)
@@ -65,8 +60,7 @@
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
 	f.target(2, domainB, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	nobody := [4]byte{}
 	deliver(d, data(1), nobody, seconds(1.1))
 	d.SetView(f.dir.View(), seconds(1.2), seconds(1.2))
@@ -93,9 +87,7 @@
 // A target that does not answer ends its path. The next search takes shorter paths, so that all others are asked.
 func TestSearchGetsPastASilentTarget(t *testing.T) {
 	f := newFleet(t)
-	for n := 1; n <= 12; n++ {
-		f.target(n, domainA, directory.TargetReady)
-	}
+	f.targets(12)
 	for holder := 2; holder <= 12; holder++ {
 		d := dispatch.New(domainA, dispatch.KeepFlows)
 		d.SetView(f.dir.View(), seconds(1), seconds(1))
@@ -114,8 +106,7 @@
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
 	f.target(2, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	require.Equal(t, dispatch.OutcomeSearch, d.FromCaller(data(1), seconds(1)).Outcome)
 	require.Equal(t, dispatch.OutcomeHold, d.FromCaller(data(1), seconds(1.001)).Outcome)
 	d.Found(ip(2), &encap.Header{Kind: encap.KindFound}, data(1), seconds(1.002))
@@ -128,11 +119,8 @@
 // core: the packets that a balancer sends for it must be few.
 func TestSearchOfALargePoolCostsTheBalancerFewPackets(t *testing.T) {
 	f := newFleet(t)
-	for n := 1; n <= 52; n++ {
-		f.target(n, domainA, directory.TargetReady)
-	}
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	f.targets(52)
+	d := f.dispatcher()
 	decision := d.FromCaller(data(1), seconds(1))
 	require.LessOrEqual(t, len(decision.Paths), 10)
 	visited := 0
@@ -146,8 +134,7 @@
 func TestConfirmationDuringASearchDoesNotCountForIt(t *testing.T) {
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	f.target(2, domainA, directory.TargetReady) // holds the flow
 	p := data(1)
 	decision, _ := deliver(d, p, ip(2), seconds(1.1))
@@ -165,11 +152,8 @@
 // A target that is known not to answer keeps no packet from those behind it, not even in the first search of a flow.
 func TestTargetsKnownToBeSilentAreSearchedAlone(t *testing.T) {
 	f := newFleet(t)
-	for n := 1; n <= 6; n++ {
-		f.target(n, domainA, directory.TargetReady)
-	}
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	f.targets(6)
+	d := f.dispatcher()
 	for n := 1; n <= 3; n++ {
 		d.Reported(ip(n), &encap.Header{Silent: true}, seconds(1))
 	}
@@ -218,8 +202,7 @@
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
 	f.target(2, domainB, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	decision, _ := deliver(d, data(1), [4]byte{}, seconds(1.1))
 	require.Equal(t, dispatch.CauseMissPending, decision.Cause)
 	f.out(domainB, true)
@@ -233,8 +216,7 @@
 func TestFlowIsSearchedAgainWhereTheConfirmedViewNamesAnotherTarget(t *testing.T) {
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	deliver(d, data(1), [4]byte{}, seconds(1.1))
 	f.target(2, domainB, directory.TargetReady)
 	d.SetView(f.dir.View(), seconds(1.2), seconds(1.2))
@@ -245,8 +227,7 @@
 func TestSearchOfLongAgoProvesNothing(t *testing.T) {
 	f := newFleet(t)
 	f.target(1, domainA, directory.TargetReady)
-	d := dispatch.New(domainA, dispatch.KeepFlows)
-	d.SetView(f.dir.View(), seconds(1), seconds(1))
+	d := f.dispatcher()
 	deliver(d, data(1), [4]byte{}, seconds(1.1))
 	d.SetView(f.dir.View(), seconds(9), seconds(9))
 	require.Equal(t, dispatch.OutcomeSearch, d.FromCaller(data(1), seconds(9)).Outcome)
--- a/forward/bench_internal_test.go
+++ b/forward/bench_internal_test.go
@@ -7,10 +7,8 @@
 	"net/netip"
 	"runtime"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"github.com/cowslipward/cowslipward/burn"
 	"github.com/cowslipward/cowslipward/directory"
@@ -19,6 +17,7 @@
 	"github.com/cowslipward/cowslipward/internal/logsink"
 	"github.com/cowslipward/cowslipward/internal/udpbatch"
 	"github.com/cowslipward/cowslipward/platform"
+	"github.com/cowslipward/cowslipward/test/relaybench"
 )
 
 var (
@@ -41,22 +40,6 @@
 	return append(b, make([]byte, length)...)
 }
 
-func benchListen(tb testing.TB, address netip.AddrPort) *udpbatch.Conn {
-	conn, err := udpbatch.Listen(address)
-	require.NoError(tb, err)
-	tb.Cleanup(func() { _ = conn.Close() })
-	return conn
-}
-
-func drainConn(conn *udpbatch.Conn) {
-	batch := udpbatch.GetBatch()
-	for {
-		if _, err := conn.Read(batch); err != nil {
-			return
-		}
-	}
-}
-
 // benchBalancer returns a balancer that knows the target of each flow.
 func benchBalancer(b *testing.B) *Balancer {
 	balancer, err := OpenBalancer(BalancerConfig{
@@ -82,24 +65,8 @@
 	return balancer
 }
 
-// threadTime returns the processor time of this thread.
-func threadTime() time.Duration {
-	var usage unix.Rusage
-	_ = unix.Getrusage(unix.RUSAGE_THREAD, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
-// relayMeter counts packets and the processor time that they cost.
-type relayMeter struct {
-	packets int
-	busy    time.Duration
-}
-
-func (m *relayMeter) rate() float64 { return float64(m.packets) / m.busy.Seconds() }
-
 // pass reads one batch and hands its datagrams on.
-func (m *relayMeter) pass(b *testing.B, conn *udpbatch.Conn, batch *udpbatch.Batch, each func([]byte), flush func()) {
-	start := threadTime()
+func pass(b *testing.B, conn *udpbatch.Conn, batch *udpbatch.Batch, each func([]byte), flush func()) int {
 	n, err := conn.Read(batch)
 	require.NoError(b, err)
 	for i := range n {
@@ -107,8 +74,7 @@
 		each(datagram)
 	}
 	flush()
-	m.packets += n
-	m.busy += threadTime() - start
+	return n
 }
 
 // BenchmarkRelayOfOpenFlows compares a balancer's hop with a plain relay to a fixed address, in turns within one run.
@@ -118,9 +84,9 @@
 			runtime.LockOSThread()
 			defer runtime.UnlockOSThread()
 			balancer := benchBalancer(b)
-			sink, plain, source := benchListen(b, benchTarget), benchListen(b, benchAny), benchListen(b, benchAny)
-			go drainConn(sink)
-			out, relayOut := balancer.newOutboxes(), newOutbox(benchListen(b, benchAny))
+			sink, plain, source := relaybench.Listen(b, benchTarget), relaybench.Listen(b, benchAny), relaybench.Listen(b, benchAny)
+			go relaybench.Drain(sink)
+			out, relayOut := balancer.newOutboxes(), newOutbox(relaybench.Listen(b, benchAny))
 			batch, feeder := udpbatch.GetBatch(), udpbatch.NewWriter()
 			next := 0
 			feed := func(to *udpbatch.Conn) {
@@ -130,17 +96,19 @@
 				}
 				feeder.Flush(source)
 			}
-			var forwarded, relayed relayMeter
+			var forwarded, relayed relaybench.Meter
 			b.ReportAllocs()
-			for forwarded.packets < b.N {
+			for forwarded.Packets < b.N {
 				feed(balancer.packets)
-				forwarded.pass(b, balancer.packets, batch, func(d []byte) { balancer.fromCaller(out, d) }, out.flush)
+				forwarded.Run(func() int {
+					return pass(b, balancer.packets, batch, func(d []byte) { balancer.fromCaller(out, d) }, out.flush)
+				})
 				feed(plain)
-				relayed.pass(b, plain, batch, func(d []byte) { relayOut.send(flow.EndpointOf(benchTarget), d) }, relayOut.flush)
+				relayed.Run(func() int {
+					return pass(b, plain, batch, func(d []byte) { relayOut.send(flow.EndpointOf(benchTarget), d) }, relayOut.flush)
+				})
 			}
-			b.ReportMetric(forwarded.rate(), "pkts/s/core")
-			b.ReportMetric(relayed.rate(), "relay-pkts/s/core")
-			b.ReportMetric(forwarded.rate()/relayed.rate(), "of-relay")
+			relaybench.Report(b, &forwarded, &relayed)
 		})
 	}
 }
