Tell the changes of a storm of configurations one by one

Cause: updates repeat what changed in the last 700 ms, and a process knew the change from the last configuration only. Where several came within that time, each update told the whole, which fits no datagram, and each balancer fetched it from the process that told it of the update.

Ruled out: telling the last change only. A peer that missed an update would have to fetch, and an update is there to make up for lost ones.

--- a/directory/change.go
+++ b/directory/change.go
@@ -4,19 +4,18 @@
 
 // ConfigChange leads from one configuration to the next. At thousands of routes it is a small part of the whole.
 type ConfigChange struct {
-	Base   uint64   // the store's revision of the configuration that it changes
-	Next   Config   // with those routes only that are new or changed
-	Gone   []string // names of routes that the next configuration lacks
-	routes int      // of the next configuration
+	Base uint64   // the store's revision of the configuration that it changes
+	Next Config   // with those routes only that are new or changed
+	Gone []string // names of routes that the next configuration lacks
 }
 
-// isWorthwhile reports whether the change is clearly less than the whole configuration.
-func (c *ConfigChange) isWorthwhile() bool { return 2*len(c.Next.Routes)+len(c.Gone) < c.routes }
+// size measures the change in routes of a whole configuration. A change is worth telling where it is clearly less.
+func (c *ConfigChange) size() int { return 2*len(c.Next.Routes) + len(c.Gone) }
 
 // changeOf returns the change from the configuration of a revision to the next one. It reports false where the change is no
 // less than the whole, and where the routes cannot be told apart by their names, or those of one address stand in another order.
 func changeOf(old *Config, base uint64, next *Config) (*ConfigChange, bool) {
-	c := &ConfigChange{Base: base, Next: *next, routes: len(next.Routes)}
+	c := &ConfigChange{Base: base, Next: *next}
 	c.Next.Routes = nil
 	held := make(map[string]*Route, len(old.Routes))
 	for i := range old.Routes {
@@ -34,7 +33,7 @@
 			c.Gone = append(c.Gone, old.Routes[i].Name)
 		}
 	}
-	return c, c.isWorthwhile() && reflect.DeepEqual(c.apply(old), next)
+	return c, c.size() < len(next.Routes) && reflect.DeepEqual(c.apply(old), next)
 }
 
 // apply returns the next configuration.
--- a/directory/change_test.go
+++ b/directory/change_test.go
@@ -79,6 +79,39 @@
 	require.Equal(t, 1, peer.View().Route(first.Routes[3].Address).Priority)
 }
 
+// Pattern: a storm of configurations, several within the time for which updates repeat what changed. Peers hold any of them.
+func TestStormOfConfigurationsIsToldAsChanges(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}
+	reader := directory.New()
+	peers := make([]*directory.Directory, 5)
+	for n := range peers {
+		revision := uint64(10 * (n + 1))
+		config := configWith(int64(n+1), names...)
+		for i := range n {
+			config.Routes[i].Priority = 1
+		}
+		apply(reader, time.Second, configRecord(revision, config))
+		reader.Advance(revision)
+		peers[n] = directory.New()
+		apply(peers[n], time.Second, configRecord(revision, config))
+		peers[n].Advance(revision)
+	}
+	for _, r := range reader.Since(10, time.Second) {
+		require.NotNil(t, r.Change)
+		require.Len(t, r.Change.Next.Routes, 1)
+	}
+	for n, peer := range peers {
+		apply(peer, time.Second, reader.Since(10, time.Second)...)
+		require.False(t, peer.TakeUnmet(), "peer %d", n)
+		require.Equal(t, reader.View().Config, peer.View().Config, "peer %d", n)
+	}
+	for revision := uint64(100); revision < 120; revision++ {
+		apply(reader, time.Second, configRecord(revision, configWith(int64(revision), names...)))
+		reader.Advance(revision)
+	}
+	require.NotNil(t, reader.Since(50, time.Second)[0].Config, "more changes than are remembered")
+}
+
 // Of two routes with one address the later one counts, whatever the order of the others.
 func TestLaterRouteOfAnAddressCounts(t *testing.T) {
 	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
--- a/directory/config.go
+++ b/directory/config.go
@@ -13,7 +13,7 @@
 		return false
 	}
 	d.noteFormerServices(next)
-	d.before, d.beforeRev, d.change = d.config, d.configRev, nil
+	d.noteStep(r, next)
 	d.config, d.configRev, d.dirty = next, r.Revision, true
 	return true
 }
@@ -74,24 +74,6 @@
 	return slices.ContainsFunc(r.Choices, func(c Choice) bool { return c.Service == service })
 }
 
-// configRecord returns what a peer that knows all up to a revision lacks of the configuration in force.
-func (d *Directory) configRecord(revision uint64) Record {
-	r := Record{Kind: KindConfig, Revision: d.configRev, Changed: d.configRev}
-	if d.before == nil || revision < d.beforeRev {
-		r.Config = d.config
-		return r
-	}
-	if d.change == nil {
-		d.change, d.changeOK = changeOf(d.before, d.beforeRev, d.config)
-	}
-	if d.changeOK {
-		r.Change = d.change
-	} else {
-		r.Config = d.config
-	}
-	return r
-}
-
 // resolve returns the configuration of a record, nil where the record is old or changes one that is not held.
 func (d *Directory) resolve(r *Record) *Config {
 	switch {
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -17,11 +17,8 @@
 	floor     uint64 // removals of entries that it never held may be unknown up to this revision
 	config    *Config
 	configRev uint64
-	before    *Config // configuration before the one in force, nil where it is not known
-	beforeRev uint64
-	change    *ConfigChange // from before to config, nil until it is asked for
-	changeOK  bool
-	unmet     bool // a change could not be applied
+	steps     []configStep // by which it came to the one in force, oldest first
+	unmet     bool         // a change could not be applied
 	targets   map[string]*Target
 	entries   map[string]revisions // of each target and failure domain, removals included
 	out       map[string]bool
--- a/directory/tell.go
+++ b/directory/tell.go
@@ -53,7 +53,7 @@
 func (d *Directory) Since(revision uint64, now time.Duration) []Record {
 	var all []Record
 	if d.config != nil && d.configRev > revision {
-		all = append(all, d.configRecord(revision))
+		all = append(all, d.configRecords(revision)...)
 	}
 	for key, known := range d.entries {
 		if known.changed > revision {
