--- a/directory/bench_test.go
+++ b/directory/bench_test.go
@@ -19,10 +19,7 @@
 
 // changeTime returns the shortest of some times in which a change of one of so many routes is taken over.
 func changeTime(routes int) time.Duration {
-	names := make([]string, routes)
-	for i := range names {
-		names[i] = fmt.Sprintf("route-%d", i)
-	}
+	names := routeNames(routes)
 	shortest := time.Hour
 	for range 9 {
 		d := directory.New()
@@ -37,10 +34,7 @@
 
 // BenchmarkChangeOfALargeConfiguration takes a change of one of 2,700 routes over and builds the next view.
 func BenchmarkChangeOfALargeConfiguration(b *testing.B) {
-	names := make([]string, 2700)
-	for i := range names {
-		names[i] = fmt.Sprintf("route-%d", i)
-	}
+	names := routeNames(2700)
 	reader, peer := directory.New(), directory.New()
 	first := configRecord(1, configWith(1, names...))
 	for _, d := range []*directory.Directory{reader, peer} {
@@ -65,3 +59,36 @@
 		peer.View()
 	}
 }
+
+// BenchmarkViewOfALargeDeployment builds the view of 7,100 targets and 2,700 routes after a change of one target.
+func BenchmarkViewOfALargeDeployment(b *testing.B) {
+	names := routeNames(2700)
+	d := directory.New()
+	config := configRecord(1, configWith(1, names...))
+	d.Apply(&config, time.Second)
+	record := func(n int, revision uint64) directory.Record {
+		t := target(fmt.Sprintf("i-%d", n), 0, int64(revision))
+		t.Address.IP = [4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}
+		return directory.Record{Kind: directory.KindTarget, Name: t.ID, Revision: revision, Target: t}
+	}
+	revision := uint64(1)
+	for n := range 7100 {
+		revision++
+		r := record(n, revision)
+		d.Apply(&r, time.Second)
+	}
+	for b.Loop() {
+		revision++
+		r := record(int(revision)%7100, revision)
+		d.Apply(&r, time.Second)
+		d.View()
+	}
+}
+
+func routeNames(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprintf("route-%d", i)
+	}
+	return names
+}
