--- a/agent/handoff_test.go
+++ b/agent/handoff_test.go
@@ -140,14 +140,11 @@
 	target := slowTarget(t, time.Minute)
 	rigs := startRigs(t, []string{target, target})
 	defer fill(t, rigs[0])()
-	awaitHeartbeats()
-	open, err := rigs[0].caller.Do(newRequest(t, http.MethodGet, "/", nil))
-	require.NoError(t, err)
-	require.Equal(t, "bench-2", open.Header.Get(HeaderTarget))
+	open := openHandoff(t, rigs[0])
 	set := parseRules(t, rulesText+"out b # asked by test\n")
 	records := []fleet.MemberRecord{{VM: rigs[0].vm, Service: 1}, {VM: rigs[1].vm, Service: 1}}
 	rigs[0].source.Set(fleet.NewView(set, fleet.Observation{Records: records}))
-	_, err = io.ReadAll(open.Body)
+	_, err := io.ReadAll(open.Body)
 	require.Error(t, err)
 	require.Eventually(t, func() bool {
 		closed := true
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -230,3 +230,13 @@
 	require.NoError(t, err)
 	return request
 }
+
+// openHandoff returns the answer to a request that a full agent handed to its peer, before the answer's end.
+func openHandoff(t *testing.T, r *rig) *http.Response {
+	t.Helper()
+	awaitHeartbeats()
+	open, err := r.caller.Do(newRequest(t, http.MethodGet, "/", nil))
+	require.NoError(t, err)
+	require.Equal(t, "bench-2", open.Header.Get(HeaderTarget))
+	return open
+}
--- a/feed/confirm_internal_test.go
+++ b/feed/confirm_internal_test.go
@@ -28,21 +28,29 @@
 	require.True(t, f.Confirmed())
 }
 
-// Guards against a woken process that writes into a domain which went out during the pause: it must be silent until the
-// rules are confirmed, and the grace for open streams must not start anew.
-func TestNothingIntoOtherDomainsUntilConfirmed(t *testing.T) {
-	const domains = "domain a id=1 # asked by operations\ndomain b id=2 # asked by operations\n"
+const twoDomains = "domain a id=1 # asked by operations\ndomain b id=2 # asked by operations\n"
+
+// newConfirmed returns the feed of a process in domain a whose view of two domains is confirmed.
+func newConfirmed(t *testing.T) *Feed {
+	t.Helper()
 	f := New(Config{Self: fleet.VM{Name: "entry-1", FailureDomain: "a"}})
 	f.merged.Store(true)
-	require.True(t, f.book.offer(domains, 1, "test"))
+	require.True(t, f.book.offer(twoDomains, 1, "test"))
 	f.buildView()
 	f.confirm(1)
+	return f
+}
+
+// Guards against a woken process that writes into a domain which went out during the pause: it must be silent until the
+// rules are confirmed, and the grace for open streams must not start anew.
+func TestNothingIntoOtherDomainsUntilConfirmed(t *testing.T) {
+	f := newConfirmed(t)
 	require.True(t, f.mayWrite("b"))
 
 	f.onPause(time.Second)
 	require.True(t, f.mayWrite("a"), "peers of the own domain are asked")
 	require.False(t, f.mayWrite("b"))
-	require.True(t, f.book.offer(domains+"out b # asked by operations\n", 2, "test"))
+	require.True(t, f.book.offer(twoDomains+"out b # asked by operations\n", 2, "test"))
 	f.confirm(2)
 	require.False(t, f.mayWrite("b"))
 	f.outages.follow(f.book.current(), f.outSince())
@@ -53,13 +61,8 @@
 // Guards against rule changes that stop the data path and cut the connections to other domains until the view shows
 // them. Each change then cost a redial of every relay.
 func TestRuleChangeKeepsViewConfirmed(t *testing.T) {
-	const domains = "domain a id=1 # asked by operations\ndomain b id=2 # asked by operations\n"
-	f := New(Config{Self: fleet.VM{Name: "entry-1", FailureDomain: "a"}})
-	f.merged.Store(true)
-	require.True(t, f.book.offer(domains, 1, "test"))
-	f.buildView()
-	f.confirm(1)
-	require.True(t, f.book.offer(domains+"domain c id=3 # asked by operations\n", 2, "test"))
+	f := newConfirmed(t)
+	require.True(t, f.book.offer(twoDomains+"domain c id=3 # asked by operations\n", 2, "test"))
 	f.confirm(1)
 	require.True(t, f.Confirmed())
 	require.True(t, f.mayWrite("b"))
--- a/forward/bed_test.go
+++ b/forward/bed_test.go
@@ -180,3 +180,13 @@
 	require.NoError(b.t, err)
 	return f
 }
+
+// openFlows opens flows that carried a request each.
+func (b *bed) openFlows(count int) []*platformtest.Flow {
+	flows := make([]*platformtest.Flow, count)
+	for n := range flows {
+		flows[n] = b.open()
+		require.NoError(b.t, b.request(flows[n], fmt.Sprintf("before-%d", n)))
+	}
+	return flows
+}
--- a/forward/path_test.go
+++ b/forward/path_test.go
@@ -74,12 +74,7 @@
 // Pattern: a balancer joins, and the routers' hash by mod moves nearly all flows. No request may notice.
 func TestOpenFlowsMoveToABalancerThatDoesNotKnowThem(t *testing.T) {
 	b := newBed(t, 2, 7)
-	var flows []*platformtest.Flow
-	for n := range 40 {
-		f := b.open()
-		require.NoError(t, b.request(f, fmt.Sprintf("before-%d", n)))
-		flows = append(flows, f)
-	}
+	flows := b.openFlows(40)
 	b.setPick(func(flow.Key) int { return 1 })
 	started := time.Now()
 	for n, f := range flows {
@@ -120,12 +115,7 @@
 // A crashed target sends nothing. Its agent finds that it does not run, and its callers are told.
 func TestFlowsOfATargetThatDoesNotRunAreReset(t *testing.T) {
 	b := newBed(t, 1, 2)
-	var flows []*platformtest.Flow
-	for n := range 10 {
-		f := b.open()
-		require.NoError(t, b.request(f, fmt.Sprintf("before-%d", n)))
-		flows = append(flows, f)
-	}
+	flows := b.openFlows(10)
 	b.targets[0].Close()
 	b.targets[1].Close()
 	for n, f := range flows {
@@ -195,12 +185,7 @@
 func TestFlowIsFoundPastTargetsThatDoNotAnswer(t *testing.T) {
 	const balancers = 7
 	b := newBed(t, balancers, 1)
-	var flows []*platformtest.Flow
-	for n := range 8 {
-		f := b.open()
-		require.NoError(t, b.request(f, fmt.Sprintf("before-%d", n)))
-		flows = append(flows, f)
-	}
+	flows := b.openFlows(8)
 	for n := 1; n <= 5; n++ {
 		b.setTarget(n, directory.TargetReady) // nothing runs there
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -14,15 +14,22 @@
 	"github.com/cowslipward/cowslipward/keys"
 )
 
-// Guards against peers that cannot be told apart by their source IP, and against a fallback to HTTP/1.1, which would
-// need a connection for each stream.
-func TestClientUsesLocalAddressAndHTTP2(t *testing.T) {
+// listen returns keys of a new deployment and a listener that uses them.
+func listen(t *testing.T) (*keys.Store, net.Listener) {
+	t.Helper()
 	dir := t.TempDir()
 	require.NoError(t, keys.Generate(dir, nil, nil))
 	store, err := keys.Open(dir)
 	require.NoError(t, err)
 	listener, err := peer.Listen(store, netip.MustParseAddrPort("127.0.0.1:0"))
 	require.NoError(t, err)
+	return store, listener
+}
+
+// Guards against peers that cannot be told apart by their source IP, and against a fallback to HTTP/1.1, which would
+// need a connection for each stream.
+func TestClientUsesLocalAddressAndHTTP2(t *testing.T) {
+	store, listener := listen(t)
 	server := peer.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		from := netip.MustParseAddrPort(r.RemoteAddr)
 		_, _ = io.WriteString(w, r.Proto+" "+from.Addr().String())
@@ -42,12 +49,7 @@
 // Guards against a session that keeps its connection after it ended: bytes would go on into a failure domain that is
 // out, and a connection that went silent would stay open.
 func TestSessionCloseEndsConnections(t *testing.T) {
-	dir := t.TempDir()
-	require.NoError(t, keys.Generate(dir, nil, nil))
-	store, err := keys.Open(dir)
-	require.NoError(t, err)
-	listener, err := peer.Listen(store, netip.MustParseAddrPort("127.0.0.1:0"))
-	require.NoError(t, err)
+	store, listener := listen(t)
 	closed := make(chan struct{})
 	server := peer.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	server.ConnState = func(_ net.Conn, state http.ConnState) {
