Order routes once, forget cold starts in one place, use the stand-in's formats

From a second reading of the change; what the programs do stays as it is.

- A change of a configuration was ordered when it was applied, into a copy of all routes, and looked at for its order again.
- The gate forgot old cold starts in Expire and again in coldRoom, which is only called after it.
- A loop and a shift of a slice stand in the standard library; the share of failed requests was looked up twice for one answer of explain.
- The tests of viewsync wrote entries and configurations of the platform that platformtest writes as well.
It has one piece for each now, and the platform's names are gone from viewsync.
Tests of directory and dispatch use one setup each.

--- a/directory/change.go
+++ b/directory/change.go
@@ -1,6 +1,9 @@
 package directory
 
-import "reflect"
+import (
+	"reflect"
+	"slices"
+)
 
 // ConfigChange leads from one configuration to the next. At thousands of routes it is a small part of the whole.
 type ConfigChange struct {
@@ -36,7 +39,7 @@
 	return c, c.size() < len(next.Routes) && reflect.DeepEqual(c.apply(old), next)
 }
 
-// apply returns the next configuration.
+// apply returns the next configuration, its routes in order.
 func (c *ConfigChange) apply(old *Config) *Config {
 	next := c.Next
 	next.Routes = make([]Route, 0, len(old.Routes)+len(c.Next.Routes))
@@ -62,5 +65,6 @@
 			next.Routes = append(next.Routes, c.Next.Routes[i])
 		}
 	}
-	return ordered(&next)
+	slices.SortStableFunc(next.Routes, byAddress)
+	return &next
 }
--- a/directory/change_test.go
+++ b/directory/change_test.go
@@ -26,15 +26,19 @@
 	return directory.Record{Kind: directory.KindConfig, Revision: revision, Config: c}
 }
 
+// holding returns a directory of revision 5 with the configuration.
+func holding(c *directory.Config) *directory.Directory {
+	d := directory.New()
+	apply(d, time.Second, configRecord(5, c))
+	d.Advance(5)
+	return d
+}
+
 // Peers that hold the configuration before get what changed. All others get the whole.
 func TestChangesOfAConfiguration(t *testing.T) {
 	names := []string{"a", "b", "c", "d", "e", "f"}
 	first, second := configWith(1, names...), configWith(2, append(names[1:], "g")...)
-	reader, peer, late := directory.New(), directory.New(), directory.New()
-	for _, d := range []*directory.Directory{reader, peer} {
-		apply(d, time.Second, configRecord(5, first))
-		d.Advance(5)
-	}
+	reader, peer, late := holding(first), holding(first), directory.New()
 	second.Routes[0].Priority = 1
 	for i := range second.Routes[:5] { // the addresses of the routes that stay are as before
 		second.Routes[i].Address = first.Routes[i+1].Address
@@ -64,11 +68,7 @@
 	first, second := configWith(1, names...), configWith(2, names...)
 	second.Routes[3].Priority = 1
 	slices.Reverse(second.Routes)
-	reader, peer := directory.New(), directory.New()
-	for _, d := range []*directory.Directory{reader, peer} {
-		apply(d, time.Second, configRecord(5, first))
-		d.Advance(5)
-	}
+	reader, peer := holding(first), holding(first)
 	apply(reader, time.Second, configRecord(8, second))
 	reader.Advance(8)
 	changes := reader.Since(5, time.Second)
@@ -120,10 +120,8 @@
 		c.Routes[6].Address = c.Routes[1].Address
 	}
 	second.Routes[1], second.Routes[6] = second.Routes[6], second.Routes[1]
-	reader, peer := directory.New(), directory.New()
+	reader, peer := holding(first), holding(first)
 	for _, d := range []*directory.Directory{reader, peer} {
-		apply(d, time.Second, configRecord(5, first))
-		d.Advance(5)
 		require.Equal(t, "g", d.View().Route(first.Routes[1].Address).Name)
 	}
 	apply(reader, time.Second, configRecord(8, second))
--- a/directory/config.go
+++ b/directory/config.go
@@ -8,7 +8,7 @@
 
 // applyConfig takes over a configuration with a higher version than the one in force.
 func (d *Directory) applyConfig(r *Record) bool {
-	next := ordered(d.resolve(r))
+	next := d.resolve(r)
 	if next == nil || (d.config != nil && next.Version <= d.config.Version) {
 		return false
 	}
@@ -77,13 +77,14 @@
 	return slices.ContainsFunc(r.Choices, func(c Choice) bool { return c.Service == service })
 }
 
-// resolve returns the configuration of a record, nil where the record is old or changes one that is not held.
+// resolve returns the configuration of a record with its routes in order, nil where the record is old or changes one that is
+// not held.
 func (d *Directory) resolve(r *Record) *Config {
 	switch {
 	case r.Revision <= d.configRev:
 		return nil
 	case r.Change == nil:
-		return r.Config
+		return ordered(r.Config)
 	case d.config == nil || r.Change.Base != d.configRev:
 		d.unmet = true
 		return nil
--- a/directory/steps.go
+++ b/directory/steps.go
@@ -1,5 +1,7 @@
 package directory
 
+import "slices"
+
 // maxSteps is how many of the latest changes of the configuration are told as such. A storm brings several within the time for
 // which updates repeat what changed.
 const maxSteps = 8
@@ -13,8 +15,8 @@
 	change   *ConfigChange // nil where the whole configuration is no more than it
 }
 
-// changes returns the change, nil where the step is told better by the whole configuration.
-func (s *configStep) changes() *ConfigChange {
+// told returns the change, nil where the step is told better by the whole configuration.
+func (s *configStep) told() *ConfigChange {
 	if s.base != nil {
 		if change, ok := changeOf(s.base, s.baseRev, s.next); ok {
 			s.change = change
@@ -34,7 +36,7 @@
 		step.base, step.next = d.config, next
 	}
 	if len(d.steps) == maxSteps {
-		d.steps = append(d.steps[:0], d.steps[1:]...)
+		d.steps = slices.Delete(d.steps, 0, 1)
 	}
 	d.steps = append(d.steps, step)
 }
@@ -44,7 +46,7 @@
 func (d *Directory) configRecords(revision uint64) []Record {
 	whole := []Record{{Kind: KindConfig, Revision: d.configRev, Changed: d.configRev, Config: d.config}}
 	var records []Record
-	told := 0
+	size := 0
 	for i := range d.steps {
 		step := &d.steps[i]
 		if step.revision <= revision {
@@ -53,14 +55,14 @@
 		if len(records) == 0 && step.baseRev > revision {
 			return whole
 		}
-		change := step.changes()
+		change := step.told()
 		if change == nil {
 			return whole
 		}
-		told += change.size()
+		size += change.size()
 		records = append(records, Record{Kind: KindConfig, Revision: step.revision, Changed: step.revision, Change: change})
 	}
-	if len(records) == 0 || told >= len(d.config.Routes) {
+	if len(records) == 0 || size >= len(d.config.Routes) {
 		return whole
 	}
 	return records
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -29,8 +29,7 @@
 
 func TestCopyOfSynGoesToAnotherTarget(t *testing.T) {
 	f := newFleet(t)
-	f.target(1, domainA, directory.TargetReady)
-	f.target(2, domainA, directory.TargetReady)
+	f.targets(2)
 	d := f.dispatcher()
 	first := d.FromCaller(syn(1, 0), seconds(1))
 	second := d.FromCaller(syn(1, 1), seconds(1.2))
@@ -173,8 +172,7 @@
 // Flows that may be idle for longer than the table keeps entries by itself must not cost a search each time.
 func TestTableKeepsFlowsForTheIdleTimeOfTheConfiguration(t *testing.T) {
 	f := newFleet(t)
-	f.target(1, domainA, directory.TargetReady)
-	f.target(2, domainA, directory.TargetReady)
+	f.targets(2)
 	config := *f.dir.View().Config
 	config.Version, config.IdleTimeout = 2, time.Minute
 	f.apply(directory.Record{Kind: directory.KindConfig, Config: &config})
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -45,6 +45,7 @@
 
 // obstacle says why a target gets no new flows, or fewer than others.
 func (d *Dispatcher) obstacle(t *directory.Target, now time.Duration) string {
+	failed := d.loads.FailedShare(t.Address.IP, now)
 	switch {
 	case t.State == directory.TargetDraining:
 		return "the target is draining"
@@ -56,8 +57,8 @@
 		return "its agent or the target itself does not answer"
 	case d.loads.Refuses(t.Address.IP, now):
 		return "it sends new flows back"
-	case d.loads.FailedShare(t.Address.IP, now) >= placement.FailingFloor:
-		return fmt.Sprintf("%.0f%% of its requests failed lately", 100*d.loads.FailedShare(t.Address.IP, now))
+	case failed >= placement.FailingFloor:
+		return fmt.Sprintf("%.0f%% of its requests failed lately", 100*failed)
 	case t.ColdUntil() > now:
 		return "cold for " + (t.ColdUntil() - now).Round(time.Millisecond).String()
 	default:
--- a/dispatch/search_test.go
+++ b/dispatch/search_test.go
@@ -72,8 +72,7 @@
 // A target that does not answer may hold the flow: its silence is no proof.
 func TestSilentTargetKeepsAFlowFromBeingReset(t *testing.T) {
 	f := newFleet(t)
-	f.target(1, domainA, directory.TargetReady)
-	f.target(2, domainA, directory.TargetReady)
+	f.targets(2)
 	d := dispatch.New(domainA, dispatch.KeepFlows)
 	now := seconds(1)
 	for range 20 {
@@ -104,8 +103,7 @@
 // Packets of a flow that arrive during its search wait for it, since each lost one costs its caller 200 ms.
 func TestPacketsWaitForTheSearchOfTheirFlow(t *testing.T) {
 	f := newFleet(t)
-	f.target(1, domainA, directory.TargetReady)
-	f.target(2, domainA, directory.TargetReady)
+	f.targets(2)
 	d := f.dispatcher()
 	require.Equal(t, dispatch.OutcomeSearch, d.FromCaller(data(1), seconds(1)).Outcome)
 	require.Equal(t, dispatch.OutcomeHold, d.FromCaller(data(1), seconds(1.001)).Outcome)
--- a/placement/tried.go
+++ b/placement/tried.go
@@ -1,16 +1,14 @@
 package placement
 
-import "github.com/cowslipward/cowslipward/directory"
+import (
+	"slices"
+
+	"github.com/cowslipward/cowslipward/directory"
+)
 
 // Mark is the short form in which a flow remembers the targets that refused it.
 func Mark(t *directory.Target) uint64 { return rank(t, 0) }
 
 func wasTried(tried []uint64, t *directory.Target) bool {
-	mark := Mark(t)
-	for _, m := range tried {
-		if m == mark {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(tried, Mark(t))
 }
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -215,7 +215,7 @@
 	}
 	best := g.waiting.best(now, g.work)
 	next := g.waiting.items[best]
-	if !g.coldRoom(next.coldRate, now) {
+	if !g.coldRoom(next.coldRate) {
 		return flow.Key{}, false
 	}
 	g.waiting.remove(best)
--- a/targetgate/offer.go
+++ b/targetgate/offer.go
@@ -22,7 +22,7 @@
 		return Accept, reason
 	case !o.Last || reason == encap.ReasonSilent || reason == encap.ReasonRefused || !g.canWait(o, now):
 		return Refuse, reason
-	case reason == encap.ReasonBusy && g.coldRoom(o.ColdRate, now):
+	case reason == encap.ReasonBusy && g.coldRoom(o.ColdRate):
 		g.accept(o.Key, now-o.age(), now) // its request says how long it may wait, a SYN does not
 		return Accept, reason
 	default:
@@ -70,7 +70,7 @@
 		return encap.ReasonRefused
 	case g.Load() >= g.limit() || g.Waiting() > 0:
 		return encap.ReasonBusy
-	case !g.coldRoom(o.ColdRate, now):
+	case !g.coldRoom(o.ColdRate):
 		return encap.ReasonCold
 	default:
 		return encap.ReasonNone
@@ -80,11 +80,8 @@
 // limit is how many requests and accepted flows the target gets at once.
 func (g *Gate) limit() int { return g.slots + spareSlots + g.slots/spareShare }
 
-// coldRoom reports whether a cold target may get one more flow in this second.
-func (g *Gate) coldRoom(rate float64, now time.Duration) bool {
-	for len(g.cold) > 0 && now-g.cold[0] >= time.Second {
-		g.cold = g.cold[1:]
-	}
+// coldRoom reports whether a cold target may get one more flow in the second that ended with the last call of Expire.
+func (g *Gate) coldRoom(rate float64) bool {
 	return rate <= 0 || len(g.cold) < max(1, int(rate))
 }
 
--- a/viewsync/fleet_test.go
+++ b/viewsync/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipward/cowslipward/directory"
+	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/platform"
 	"github.com/cowslipward/cowslipward/platform/platformtest"
 	"github.com/cowslipward/cowslipward/viewsync"
@@ -30,18 +31,22 @@
 	return s
 }
 
-const configValue = `{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","type":"safe","service":"bench"}],
-"services":[{"name":"bench"}],"limits":{"idleTimeoutMs":15000}}`
-
-const targetValue = `{"service":"bench","address":"10.0.0.%d:80","zone":"a","version":"v1","concurrency":9,"state":"ready",` +
-	`"warmupLeftMs":0,"seq":1,"born":%d}`
+// route returns a route of the service at the last byte of an address and a port.
+func route(host byte, port uint16) platformtest.Route {
+	return platformtest.Route{
+		Name:    fmt.Sprintf("%d-%d", host, port),
+		Address: flow.Endpoint{IP: [4]byte{198, 18, 0, host}, Port: port},
+		Service: "bench",
+	}
+}
 
 func putConfig(s *platformtest.Store, version int) {
-	s.PutConfig(fmt.Sprintf(configValue, version))
+	s.PutConfig(platformtest.Config(version, []platformtest.Route{route(1, 443)}))
 }
 
 func putTarget(s *platformtest.Store, n int) {
-	s.PutTarget(fmt.Sprintf("i-%d", n), fmt.Sprintf(targetValue, n, n))
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80)
+	s.PutTarget(fmt.Sprintf("i-%d", n), platformtest.Entry("bench", address, "a", 9, "ready", int64(n)))
 }
 
 // node is a syncer that runs, and what it published last.
--- a/viewsync/viewsync_test.go
+++ b/viewsync/viewsync_test.go
@@ -1,7 +1,6 @@
 package viewsync_test
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -9,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipward/cowslipward/platform/platformtest"
 )
 
 func TestChangesReachAllProcesses(t *testing.T) {
@@ -124,11 +125,11 @@
 	putConfig(s, 1)
 	nodes := startFleet(t, s, 3)
 	requireVersion(t, 1, nodes...)
-	routes := ""
-	for n := range 500 {
-		routes += fmt.Sprintf(`{"name":"r-%d","host":"198.18.1.%d","prefix":"/%d/","type":"safe","service":"bench"},`, n, n%250, 1000+n)
+	routes := make([]platformtest.Route, 500)
+	for n := range routes {
+		routes[n] = route(byte(n%250), uint16(1000+n))
 	}
-	s.PutConfig(fmt.Sprintf(`{"version":2,"routes":[%s],"services":[{"name":"bench"}]}`, routes[:len(routes)-1]))
+	s.PutConfig(platformtest.Config(2, routes))
 	requireVersion(t, 2, nodes...)
 }
 
