--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -39,7 +39,6 @@
 	rollbackSlack    = 250 * time.Millisecond
 	warmupFactor     = 1.5
 	coldSlack        = 5
-	flowReorder      = 2 * time.Second
 	idleTimeoutMs    = 15_000
 	startLimit       = 15 * time.Second
 	programOfProject = "target/cowslip-l4"
@@ -62,15 +61,9 @@
 	fronts  []*node
 	sides   []*node
 	hosts   []*host
-	watcher func(h *host, key flowKey, p *packet) // sees each packet that reaches a host; may be nil
 	version int
-}
 
-// observe passes a packet that reached a host to the watcher.
-func (b *bed) observe(h *host, key flowKey, p *packet) {
-	if b.watcher != nil {
-		b.watcher(h, key, p)
-	}
+	seedsDown bool // the seeds in the settings are machines that are down
 }
 
 func (b *bed) ip(kind byte, n int) netip.Addr {
@@ -180,7 +173,11 @@
 	s["peers"], s["store"], s["domain_out"], s["domain_out_flows"] = at(portControl), b.store.address.String(), "5000ms", "keep"
 	var seeds []string
 	for i := range min(3, len(b.fronts)) {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", b.fronts[i].ip, portControl))
+		seed := b.fronts[i].ip
+		if b.seedsDown {
+			seed = b.ip(netFronts, 200+i) // no machine has these addresses
+		}
+		seeds = append(seeds, fmt.Sprintf("%s:%d", seed, portControl))
 	}
 	s["seeds"] = seeds
 	return s
--- a/review/standin/case_agent_restarts.go
+++ b/review/standin/case_agent_restarts.go
@@ -10,12 +10,12 @@
 const (
 	coldTime      = 2 * time.Second
 	coldRate      = 20.0 // warmupPerS of the service
-	newFlowsPerS  = 120
+	newFlowsPerS  = 300
 	restartDelay  = 150 * time.Millisecond
 	loadTime      = 6 * time.Second
 	newHostAt     = 2 * time.Second
 	killAt        = 400 * time.Millisecond // after the start of the new host
-	requestWork   = 20 * time.Millisecond
+	requestWork   = 60 * time.Millisecond
 	requestBudget = 4 * time.Second
 )
 
@@ -42,7 +42,7 @@
 	if err != nil {
 		return 0, err
 	}
-	load := newSteadyLoad(c, address)
+	load := newSteadyLoad(c, address, newFlowsPerS)
 	go load.run()
 	time.Sleep(newHostAt)
 	side, cold, err := b.addSide(hostConfig{id: "i-alpha-new", service: "alpha", zone: "zone-a", slots: 9, queue: 36, maxConns: 2000, warmup: coldTime, bears: coldLimit})
@@ -59,7 +59,7 @@
 	}
 	time.Sleep(loadTime - newHostAt)
 	load.stop()
-	most, from := mostInOneSecond(cold.openingsSoFar(), load.flows, cold.born.Add(coldTime))
+	most, from := mostInOneSecond(cold.openingsSoFar(), load.flows)
 	b.rec.say("the cold host got at most %d requests in one second, from %s s on; allowed are %d", most, b.rec.at(from), coldLimit)
 	b.rec.say("requests that a host accepted and nobody answered: %d", load.lostCount())
 	if most > coldLimit {
@@ -71,8 +71,8 @@
 
 // mostInOneSecond returns the largest number of opening packets that were sent and arrived inside one second while the
 // host was cold, and when that second begins.
-func mostInOneSecond(openings []opening, flows map[flowKey]*clientFlow, coldUntil time.Time) (most int, from time.Time) {
-	openings = slices.DeleteFunc(openings, func(o opening) bool { return o.at.After(coldUntil) || flows[o.flow] == nil })
+func mostInOneSecond(openings []opening, flows map[flowKey]*clientFlow) (most int, from time.Time) {
+	openings = slices.DeleteFunc(openings, func(o opening) bool { return !o.cold || flows[o.flow] == nil })
 	sent := func(o opening) time.Time { return flows[o.flow].synAt[o.copyNo] }
 	for _, first := range openings {
 		start := sent(first)
@@ -93,6 +93,7 @@
 type steadyLoad struct {
 	client *client
 	route  flowRoute
+	perS   int // flows a second
 	ended  chan struct{}
 	group  sync.WaitGroup
 
@@ -101,12 +102,12 @@
 	lost  int
 }
 
-func newSteadyLoad(c *client, address flowRoute) *steadyLoad {
-	return &steadyLoad{client: c, route: address, ended: make(chan struct{}), flows: make(map[flowKey]*clientFlow)}
+func newSteadyLoad(c *client, address flowRoute, perS int) *steadyLoad {
+	return &steadyLoad{client: c, route: address, perS: perS, ended: make(chan struct{}), flows: make(map[flowKey]*clientFlow)}
 }
 
 func (l *steadyLoad) run() {
-	ticker := time.NewTicker(time.Second / newFlowsPerS)
+	ticker := time.NewTicker(time.Second / time.Duration(l.perS))
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -12,13 +12,16 @@
 	"time"
 )
 
+// fallTime is how long a host that got more than it bears still runs.
+const fallTime = 50 * time.Millisecond
+
 // hostConfig describes a host.
 type hostConfig struct {
 	id, service, zone string
 	ip                netip.Addr
 	slots, queue      int
 	maxConns          int
-	warmup            time.Duration // it stays cold for so long after its start
+	warmup            time.Duration // it is cold for so long after its start
 	bears             int           // flows in one second with which it falls over while it is cold, less one; 0: no limit
 }
 
@@ -29,6 +32,7 @@
 	at      time.Time
 	host    string
 	service string
+	cold    bool // the host was cold
 }
 
 // host is a stand-in for a host: it ends flows, runs requests in its slots and returns the packets of flows that it does
@@ -45,6 +49,7 @@
 	mu       sync.Mutex
 	flows    map[flowKey]*hostFlow
 	closed   bool
+	coldEnd  time.Time // until then it is cold
 	openings []opening
 	waiting  int
 	seq      int // of its entry
@@ -76,6 +81,7 @@
 		hostConfig: c, bed: b, conn: conn, outbound: netip.AddrPortFrom(c.ip, portOutbound), born: time.Now(),
 		slot: make(chan struct{}, c.slots), flows: make(map[flowKey]*hostFlow),
 	}
+	h.coldEnd = h.born.Add(c.warmup)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", c.id) })
 	h.health = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
@@ -104,7 +110,7 @@
 func (h *host) report() {
 	for {
 		h.mu.Lock()
-		left := max(0, h.warmup-time.Since(h.born))
+		left := max(0, time.Until(h.coldEnd))
 		closed := h.closed
 		h.seq++
 		entry := fmt.Sprintf(`{"service":%q,"address":"%s:%d","zone":%q,"version":"v1","concurrency":%d,"state":"ready","warmupLeftMs":%d,"seq":%d,"born":%d}`,
@@ -146,18 +152,16 @@
 	}
 	key := flowKey{client: p.src, route: p.dst}
 	f := h.flows[key]
-	h.bed.observe(h, key, p)
 	switch {
 	case p.has(flagSyn) && f != nil:
 		h.send(key, flagSyn|flagAck, f.seq-1, f.next, nil)
 	case p.has(flagSyn) && len(h.flows) < h.maxConns:
 		f = &hostFlow{seq: rand.Uint32(), next: p.seq + 1}
 		h.flows[key] = f
-		h.openings = append(h.openings, opening{key, int(p.ack), time.Now(), h.id, h.service})
+		h.openings = append(h.openings, opening{key, int(p.ack), time.Now(), h.id, h.service, time.Now().Before(h.coldEnd)})
 		h.bed.rec.add("host %s of %s takes the SYN of %s, copy %d", h.id, h.service, key, p.ack)
 		if h.isOverloaded() {
-			go h.crash("it got more than it bears while it is cold")
-			return
+			time.AfterFunc(fallTime, func() { h.crash("it got more than it bears while it is cold") })
 		}
 		h.send(key, flagSyn|flagAck, f.seq-1, f.next, nil)
 	case f == nil, !f.open && p.ack != f.seq:
@@ -171,12 +175,12 @@
 
 // isOverloaded reports whether a cold host has taken more flows in the last second than it bears. h.mu must be locked.
 func (h *host) isOverloaded() bool {
-	if h.bears == 0 || time.Since(h.born) > h.warmup {
+	if h.bears == 0 || time.Now().After(h.coldEnd) {
 		return false
 	}
 	recent := 0
 	for _, o := range h.openings {
-		if time.Since(o.at) < time.Second {
+		if time.Since(o.at) < time.Second && o.cold {
 			recent++
 		}
 	}
@@ -223,16 +227,19 @@
 		return
 	}
 	h.slot <- struct{}{}
-	if !h.isClosed() {
+	runs := !h.isClosed()
+	if runs {
 		h.bed.rec.add("host %s of %s runs request %s", h.id, h.service, id)
 		ms, _ := strconv.Atoi(work)
 		time.Sleep(time.Duration(ms) * time.Millisecond)
-		h.respond(key, f, "HTTP/1.1 200 OK\r\nServer-Stamp: "+h.id+"\r\nRequest-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
 	}
 	<-h.slot
 	h.mu.Lock()
 	h.waiting--
 	h.mu.Unlock()
+	if runs {
+		h.respond(key, f, "HTTP/1.1 200 OK\r\nServer-Stamp: "+h.id+"\r\nRequest-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+	}
 }
 
 func (h *host) isClosed() bool {
@@ -276,6 +283,15 @@
 	return append([]opening(nil), h.openings...)
 }
 
+// turnCold makes the host cold again for a time, and writes its entry.
+func (h *host) turnCold(d time.Duration) {
+	h.mu.Lock()
+	h.coldEnd = time.Now().Add(d)
+	h.mu.Unlock()
+	h.bed.rec.add("host %s is cold for %s", h.id, d)
+	go h.report()
+}
+
 // setMaxConns changes how many flows the host holds.
 func (h *host) setMaxConns(n int) {
 	h.mu.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 var plays = map[string]play{
 	"route-moves":    playRouteMoves,
 	"agent-restarts": playAgentRestarts,
+	"stale-front":    playStaleFront,
 }
 
 func main() {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -31,6 +31,7 @@
 	changed  chan struct{}
 	address  netip.AddrPort
 	server   *http.Server
+	cut      map[netip.Addr]bool // readers whose calls get no answer
 }
 
 func newStore(address netip.AddrPort) (*store, error) {
@@ -38,18 +39,57 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{items: make(map[string]item), revision: 1, changed: make(chan struct{}), address: address}
+	s := &store{items: make(map[string]item), revision: 1, changed: make(chan struct{}), address: address, cut: make(map[netip.Addr]bool)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /cowslipward/kv-key", s.serveKey)
 	mux.HandleFunc("GET /cowslipward/kv-range", s.serveRange)
 	mux.HandleFunc("GET /cowslipward/kv-watch", s.serveWatch)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	s.server = &http.Server{Handler: s.partition(mux), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
 }
 
 func (s *store) close() { _ = s.server.Close() }
 
+// setCut partitions a reader from the store, or ends that.
+func (s *store) setCut(reader netip.Addr, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[reader] = cut
+}
+
+func (s *store) isCut(r *http.Request) bool {
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return err == nil && s.cut[from.Addr()]
+}
+
+// cutWriter holds back the answer to a reader that was cut off while its call was waiting.
+type cutWriter struct {
+	http.ResponseWriter
+	store   *store
+	request *http.Request
+}
+
+func (w cutWriter) Write(b []byte) (int, error) {
+	if w.store.isCut(w.request) {
+		<-w.request.Context().Done()
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// partition leaves the calls of readers that are cut off without an answer.
+func (s *store) partition(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isCut(r) {
+			<-r.Context().Done()
+			return
+		}
+		next.ServeHTTP(cutWriter{w, s, r}, r)
+	})
+}
+
 // put writes an item. Its return is the acknowledgement.
 func (s *store) put(key, value string) uint64 {
 	s.mu.Lock()
@@ -64,6 +104,15 @@
 	return s.revision
 }
 
+// remove removes an item.
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.announce(item{Key: key, Revision: s.revision, Removed: true})
+}
+
 func (s *store) announce(event item) {
 	s.events = append(s.events, event)
 	close(s.changed)
