--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -15,6 +15,9 @@
 // fallTime is how long a host that got more than it bears still runs.
 const fallTime = 50 * time.Millisecond
 
+// entryLifetime is how long the entry of a silent host stays in the store. No host of a case starts again under its ID.
+const entryLifetime = 3 * heartbeat
+
 // hostConfig describes a host.
 type hostConfig struct {
 	id, service, zone string
@@ -102,6 +105,7 @@
 		return
 	}
 	h.bed.rec.add("host %s crashes: %s", h.id, why)
+	time.AfterFunc(entryLifetime, func() { h.bed.store.remove("servers/" + h.id) })
 	_ = h.conn.Close()
 	_ = h.health.Close()
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"route-moves":    playRouteMoves,
 	"agent-restarts": playAgentRestarts,
 	"stale-front":    playStaleFront,
+	"power-loss":     playPowerLoss,
 }
 
 func main() {
