Let a new flow follow the route in force at each of its SYNs

Cause: the flow table's entry of an opening flow kept the service that the route had when its first SYN arrived. Later copies, SYNs that a target returned and SYNs that were queued at a target took it from there, whatever the route said by then.

Change: each SYN, new, repeated or returned, asks the route in force for the service. If it is another one, the placement starts anew: no target counts as tried, and the flow waits at none. A flow that a target of the former service accepted all the same stays there; a search finds it (test).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,7 +33,7 @@
 // entry is the state of a flow in the table.
 type entry struct {
 	target         *directory.Target
-	service        string
+	service        string   // of the target; of a new flow: the one that the route gave it
 	opening        bool     // only SYNs were received so far
 	retransmission int      // highest retransmission number of the SYN so far
 	waiting        bool     // the SYN is queued at the target
@@ -223,7 +223,7 @@
 		d.table.Put(key, e, now)
 	}
 	if p.OpensFlow() {
-		return d.handleReturnedSyn(key, e, ip, h, p, now)
+		return d.handleReturnedSyn(key, e, ip, h, p, route, now)
 	}
 	return d.handleReturnedData(key, e, ip, h, p, route, now)
 }
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	domainA = "leinster-a"
-	domainB = "leinster-b"
-	service = "bench"
+	domainA      = "leinster-a"
+	domainB      = "leinster-b"
+	service      = "bench"
+	otherService = "archive"
 )
 
 var serviceAddress = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 8443}
@@ -25,6 +26,7 @@
 	t        *testing.T
 	dir      *directory.Directory
 	revision uint64
+	coldRate float64 // of the services in later configurations
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -33,15 +35,23 @@
 	return f
 }
 
+// setConfig writes a configuration in which the route belongs to one service.
 func (f *fleet) setConfig(version int64, name string) {
-	f.apply(directory.Record{Kind: directory.KindConfig, Config: &directory.Config{
-		Version: version,
-		Routes: []directory.Route{{
-			Name: "r-1", Address: serviceAddress, Choices: []directory.Choice{{Service: name, Weight: 1}},
-			Objective: 250 * time.Millisecond, Priority: 2,
-		}},
-		Services: []directory.Service{{Name: name}},
-	}})
+	f.setChoices(version, directory.Choice{Service: name, Weight: 1})
+}
+
+// setChoices writes a configuration in which the route has the choices. Without any, there is no route.
+func (f *fleet) setChoices(version int64, choices ...directory.Choice) {
+	config := &directory.Config{Version: version}
+	if len(choices) > 0 {
+		config.Routes = []directory.Route{{
+			Name: "r-1", Address: serviceAddress, Choices: choices, Objective: 250 * time.Millisecond, Priority: 2,
+		}}
+	}
+	for _, c := range choices {
+		config.Services = append(config.Services, directory.Service{Name: c.Service, ColdRate: f.coldRate})
+	}
+	f.apply(directory.Record{Kind: directory.KindConfig, Config: config})
 }
 
 func (f *fleet) apply(r directory.Record) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -14,9 +14,10 @@
 func (d *Dispatcher) placeFlow(key flow.Key, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
 	e, ok := d.table.Get(key, now)
 	if !ok || !e.opening {
-		e = &entry{opening: true, service: route.ChooseService(key.Hash())}
+		e = &entry{opening: true}
 		d.table.Put(key, e, now)
 	}
+	e.followRoute(key, route)
 	cause := CausePlaced
 	if p.Retransmission > e.retransmission {
 		e.retransmission = p.Retransmission
@@ -29,10 +30,24 @@
 	if e.waiting {
 		return d.offer(e, true, cause, p, now)
 	}
+	e.addTried()
+	return d.offerNext(key, e, cause, p, now)
+}
+
+// addTried adds the target that the flow was last offered to, if there is one, to those that did not accept it.
+func (e *entry) addTried() {
 	if e.target != nil {
 		e.tried = append(e.tried, placement.TargetKey(e.target))
 	}
-	return d.offerNext(key, e, cause, p, now)
+}
+
+// followRoute starts the placement of a new flow anew if the route in force gives it another service than the one that its
+// earlier SYNs were offered to. If a target of that service accepts one of them all the same, the flow is found there by a
+// search.
+func (e *entry) followRoute(key flow.Key, route *directory.Route) {
+	if service := route.ChooseService(key.Hash()); service != e.service {
+		e.service, e.target, e.waiting, e.tried = service, nil, false, nil
+	}
 }
 
 // offerNext offers a new flow to the best target that it was not offered to yet. If there is none, the least busy
@@ -87,10 +102,11 @@
 }
 
 // handleReturnedSyn offers a new flow that a target refused to the next target.
-func (d *Dispatcher) handleReturnedSyn(key flow.Key, e *entry, ip [4]byte, h *encap.Header, p *flow.Packet, now time.Duration) Decision {
+func (d *Dispatcher) handleReturnedSyn(key flow.Key, e *entry, ip [4]byte, h *encap.Header, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
 	if !e.opening || e.target == nil || e.target.Address.IP != ip || p.Retransmission < e.retransmission {
 		return Decision{Cause: CauseStaleReturn}
 	}
+	e.followRoute(key, route)
 	if e.waiting {
 		return d.handleNoRoom(key, e, p, now)
 	}
@@ -100,6 +116,6 @@
 	case encap.ReasonRefused, encap.ReasonOtherService, encap.ReasonSilent:
 		d.loads.RecordRefusal(ip, now)
 	}
-	e.tried = append(e.tried, placement.TargetKey(e.target))
+	e.addTried()
 	return d.offerNext(key, e, CauseNextTarget, p, now)
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -32,7 +32,7 @@
 }
 
 // services are the services of the simulated deployment. The route belongs to one of them at a time.
-var services = []string{service, "archive"}
+var services = []string{service, otherService}
 
 // simulatedTarget is a target and its agent.
 type simulatedTarget struct {
