Refuse a returned SYN at once if its route was dropped

What callers saw: a SYN that a target returned after the configuration had dropped its route was dropped without an answer, so that the caller waited for its last copy, or its deadline.

Cause: the path of returned packets had its own, silent end for packets without a route; the path of packets from callers refuses new flows with a reset.

Change: both use handleNoRoute: a reset if the view was confirmed within a second, else silence; packets of open flows are dropped as before.

Test: TestReturnedSynOfDroppedRouteIsRefused failed before (expected a reset, actual a drop).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -212,7 +212,7 @@
 	key := p.KeyFromCaller()
 	route := d.view.Route(key.Service)
 	if route == nil {
-		return Decision{Cause: CauseNoRoute}
+		return d.handleNoRoute(p, now)
 	}
 	if h.Attempt >= maxReturns {
 		return Decision{Cause: CauseTooManyHops}
--- a/dispatch/route_change_test.go
+++ b/dispatch/route_change_test.go
@@ -45,8 +45,10 @@
 
 // routeChanges are changes after which new flows of the route belong to otherService.
 var routeChanges = map[string]func(o *openingFlow){
-	"moved":             func(o *openingFlow) { o.setConfig(3, otherService) },
-	"weights exchanged": func(o *openingFlow) { o.setChoices(3, directory.Choice{Service: service}, directory.Choice{Service: otherService, Weight: 1}) },
+	"moved": func(o *openingFlow) { o.setConfig(3, otherService) },
+	"weights exchanged": func(o *openingFlow) {
+		o.setChoices(3, directory.Choice{Service: service}, directory.Choice{Service: otherService, Weight: 1})
+	},
 	"dropped and added again": func(o *openingFlow) {
 		o.setChoices(3)
 		o.receiveView(1.1)
@@ -105,3 +107,13 @@
 		})
 	}
 }
+
+// Guards against a caller that waits in vain: a SYN that is returned after its route was dropped is refused at once.
+func TestReturnedSynOfDroppedRouteIsRefused(t *testing.T) {
+	o := newOpeningFlow(t)
+	o.setChoices(3)
+	o.receiveView(1.1)
+	decision := o.returnSyn(encap.ReasonRefused, 1.2)
+	require.Equal(t, dispatch.OutcomeReset, decision.Outcome)
+	require.Equal(t, dispatch.CauseNoRoute, decision.Cause)
+}
