Let a queued flow leave a target that was withdrawn

What callers saw: a caller whose SYN was queued at a target had every later copy sent to that target, also when it was draining, gone, in a failure domain out of service, or when its address belonged to another target by then. Such a target returns the copy; the last one was refused although others had room. A target that had started again, cold, under the same address got the copy without the limit for cold targets.

Change: updatePlacement compares both with the view in force at each SYN, new, repeated or returned. A flow stays queued only at a target that the view still lists for the service and allows new flows, by its present record.

Tests: TestQueuedFlowLeavesWithdrawnTarget failed before in all six cases (the SYN went to i-1), TestQueuedFlowHasLimitOfColdTarget too (expected a rate of 20, actual 0).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -183,13 +183,15 @@
 
 // isTargetGone reports whether the target is no longer in the view and its agent no longer sends reports.
 func (d *Dispatcher) isTargetGone(t *directory.Target, now time.Duration) bool {
-	current := d.view.TargetByIP(t.Address.IP)
-	if current != nil && current.ID == t.ID {
+	if isSameTarget(d.view.TargetByIP(t.Address.IP), t) {
 		return false
 	}
 	return !d.loads.HasRecentReport(t.Address.IP, now)
 }
 
+// isSameTarget reports whether the entry at the address of t, which is nil if there is none, is still that of t.
+func isSameTarget(current, t *directory.Target) bool { return current != nil && current.ID == t.ID }
+
 // deliver forwards a packet of an open flow, unless the failure domain of its target has been out for longer than the
 // grace period.
 func (d *Dispatcher) deliver(e *entry, cause Cause, h encap.Header, now time.Duration) Decision {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,7 +17,7 @@
 		e = &entry{opening: true}
 		d.table.Put(key, e, now)
 	}
-	e.followRoute(key, route)
+	d.updatePlacement(key, e, route)
 	cause := CausePlaced
 	if p.Retransmission > e.retransmission {
 		e.retransmission = p.Retransmission
@@ -41,12 +41,21 @@
 	}
 }
 
-// followRoute starts the placement of a new flow anew if the route in force gives it another service than the one that its
-// earlier SYNs were offered to. If a target of that service accepts one of them all the same, the flow is found there by a
-// search.
-func (e *entry) followRoute(key flow.Key, route *directory.Route) {
+// updatePlacement drops what was decided about earlier SYNs of a new flow as far as the view in force no longer allows it:
+// the route may have another service, and the target at which the flow is queued may be withdrawn. If such a target
+// accepts an earlier SYN all the same, a search finds the flow there.
+func (d *Dispatcher) updatePlacement(key flow.Key, e *entry, route *directory.Route) {
 	if service := route.ChooseService(key.Hash()); service != e.service {
 		e.service, e.target, e.waiting, e.tried = service, nil, false, nil
+		return
+	}
+	if !e.waiting {
+		return
+	}
+	current := d.view.TargetByIP(e.target.Address.IP)
+	e.waiting = isSameTarget(current, e.target) && current.Service == e.service && placement.Eligible(d.view, current)
+	if e.waiting {
+		e.target = current
 	}
 }
 
@@ -106,7 +115,7 @@
 	if !e.opening || e.target == nil || e.target.Address.IP != ip || p.Retransmission < e.retransmission {
 		return Decision{Cause: CauseStaleReturn}
 	}
-	e.followRoute(key, route)
+	d.updatePlacement(key, e, route)
 	if e.waiting {
 		return d.handleNoRoom(key, e, p, now)
 	}
--- a/dispatch/route_change_test.go
+++ b/dispatch/route_change_test.go
@@ -1,13 +1,16 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/dispatch"
 	"github.com/cowslipward/cowslipward/encap"
+	"github.com/cowslipward/cowslipward/flow"
 )
 
 // openingFlow is a new flow whose first SYN was offered to target 1, the only one of service. Targets 2 and 3 belong to
@@ -117,3 +120,63 @@
 	require.Equal(t, dispatch.OutcomeReset, decision.Outcome)
 	require.Equal(t, dispatch.CauseNoRoute, decision.Cause)
 }
+
+// withdrawals are changes after which target 1, at which a flow is queued, may get no new flows.
+var withdrawals = map[string]func(f *fleet){
+	"draining":                  func(f *fleet) { f.putTarget(1, domainA, directory.TargetDraining) },
+	"failure domain out":        func(f *fleet) { f.setDomainOut(domainA, true) },
+	"gone":                      func(f *fleet) { f.removeTarget(1) },
+	"replaced at its address":   func(f *fleet) { f.removeTarget(1); f.putReplacement(service) },
+	"address of other service":  func(f *fleet) { f.removeTarget(1); f.putReplacement(otherService) },
+	"entry has another service": func(f *fleet) { f.putTargetOf(otherService, 1) },
+}
+
+func (f *fleet) removeTarget(n int) {
+	f.apply(directory.Record{Kind: directory.KindTarget, Name: fmt.Sprintf("i-%d", n), Removed: true})
+}
+
+// putReplacement adds a target at the address of target 1.
+func (f *fleet) putReplacement(service string) {
+	f.put(&directory.Target{ID: "i-later", Service: service, Address: flow.Endpoint{IP: ip(1), Port: 8080}, Domain: domainA, Slots: 9, State: directory.TargetReady})
+}
+
+// Guards against a flow that stays with the target at which its SYN was queued after that target was withdrawn: later
+// SYNs, and those that the target returns, go to the targets that the view in force allows.
+func TestQueuedFlowLeavesWithdrawnTarget(t *testing.T) {
+	for name, withdraw := range withdrawals {
+		t.Run(name, func(t *testing.T) {
+			start := func() *openingFlow {
+				o := newOpeningFlow(t)
+				o.enqueue()
+				o.putTarget(4, domainB, directory.TargetReady)
+				withdraw(o.fleet)
+				o.receiveView(1.15)
+				return o
+			}
+			repeated := start().d.HandleCallerPacket(syn(1, 1), seconds(1.2))
+			returned := start().returnSyn(encap.ReasonBusy, 1.2)
+			for _, decision := range []dispatch.Decision{repeated, returned} {
+				require.Equal(t, dispatch.OutcomeForward, decision.Outcome)
+				require.NotEqual(t, "i-1", decision.Target.ID)
+				require.Equal(t, service, decision.Target.Service)
+			}
+		})
+	}
+}
+
+// Guards against an offer to a target that has started again, cold, without the limit for cold targets, because its
+// entry was read before.
+func TestQueuedFlowHasLimitOfColdTarget(t *testing.T) {
+	o := newOpeningFlow(t)
+	o.enqueue()
+	o.coldRate = 20
+	o.setConfig(3, service)
+	o.put(&directory.Target{
+		ID: "i-1", Service: service, Address: flow.Endpoint{IP: ip(1), Port: 8080}, Domain: domainA, Slots: 9,
+		State: directory.TargetReady, ColdLeft: time.Minute, StartUnixMs: 1,
+	})
+	o.receiveView(1.15)
+	decision := o.d.HandleCallerPacket(syn(1, 1), seconds(1.2))
+	require.True(t, decision.Header.MayWait, "the flow is queued there already")
+	require.Equal(t, encap.Tenths(o.coldRate), decision.Header.ColdRate)
+}
