Forget a queued offer when an open flow's packet is returned

What callers could do: end a balancer. A packet of an open flow that a target returned while a SYN with the same endpoints was queued started a search in the entry of the new flow.

Cause: packets of open flows from callers end the placement of a new flow, those that a target returns did not.

Change: both use markOpen.

Test: TestSynAfterReturnOfOpenFlow, which panicked before, on too.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -168,7 +168,7 @@
 		e = &entry{}
 		d.table.Put(key, e, now)
 	}
-	e.opening, e.waiting, e.tried = false, false, nil
+	e.markOpen()
 	switch {
 	case e.search.isRunning(now):
 		return Decision{Outcome: OutcomeHold, Cause: CauseSearching}
@@ -181,6 +181,9 @@
 	return d.deliver(e, CauseOpen, encap.Header{}, now)
 }
 
+// markOpen ends the placement of a new flow, since the caller has opened it.
+func (e *entry) markOpen() { e.opening, e.waiting, e.tried = false, false, nil }
+
 // isTargetGone reports whether the target is no longer in the view and its agent no longer sends reports.
 func (d *Dispatcher) isTargetGone(t *directory.Target, now time.Duration) bool {
 	if isSameTarget(d.view.TargetByIP(t.Address.IP), t) {
@@ -233,9 +236,11 @@
 // handleReturnedData decides what to do with a packet of an open flow that a target returned because it does not own
 // the flow.
 func (d *Dispatcher) handleReturnedData(key flow.Key, e *entry, ip [4]byte, h *encap.Header, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
-	switch {
-	case h.Search:
+	if h.Search {
 		return d.handlePathEnd(key, e, h, p, now)
+	}
+	e.markOpen()
+	switch {
 	case e.search.isRunning(now):
 		return Decision{Outcome: OutcomeHold, Cause: CauseSearching}
 	case e.target != nil && e.target.Address.IP != ip:
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -221,3 +221,23 @@
 	d.HandleReport(ip(1), &encap.Header{Kind: encap.KindReport}, seconds(5))
 	require.False(t, d.Isolated(seconds(5)))
 }
+
+// Guards against a crash: a packet of an open flow is returned while a SYN with the same endpoints is queued. The search
+// that follows finds no target, and the next SYN must not use the one that was forgotten.
+func TestSynAfterReturnOfOpenFlow(t *testing.T) {
+	f := newFleet(t)
+	f.putTarget(1, domainA, directory.TargetReady)
+	d := f.dispatcher()
+	d.HandleCallerPacket(syn(1, 0), seconds(1))
+	inFlight := d.HandleCallerPacket(data(1), seconds(1))
+	require.Equal(t, dispatch.CauseOpen, inFlight.Cause)
+	d.HandleCallerPacket(syn(1, 1), seconds(1.2))
+	require.True(t, d.HandleCallerPacket(syn(1, 2), seconds(1.6)).Header.MayWait)
+	returned := &encap.Header{Kind: encap.KindReturn, Reason: encap.ReasonRefused}
+	search := d.HandleReturn(ip(1), returned, data(1), seconds(1.6))
+	require.Equal(t, dispatch.OutcomeSearch, search.Outcome)
+	miss, _ := followPaths(d, data(1), &search, ip(9), seconds(1.6), nil)
+	require.Equal(t, dispatch.CauseMissUnconfirmed, miss.Cause)
+	again := d.HandleCallerPacket(syn(1, 2), seconds(1.7))
+	require.Equal(t, dispatch.OutcomeForward, again.Outcome)
+}
