Model: SYNs, targets without room, routes that are dropped and weighted

Now callers send SYNs and retransmissions, also late ones, through any balancer; targets accept, queue or return them; callers open one of the flows that were accepted; routes are dropped, added again and given weights. Each SYN must be offered to a ready target of the service that the balancer's view gives it, by its present record. At the end a new flow must be accepted wherever its service has a ready target.

--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -34,6 +34,12 @@
 		"agent becomes reachable or unreachable": func(*rapid.T) { n := s.drawTarget(); s.targets[n].silent = !s.targets[n].silent },
 		"flow opens":                             func(*rapid.T) { s.openFlow(s.drawTarget()) },
 		"odd entry is written":                   func(*rapid.T) { s.putOddEntry(s.drawTarget()) },
+		"caller sends a SYN":                     func(*rapid.T) { s.sendSyn(s.drawBalancer()) },
+		"SYN arrives late":                       func(*rapid.T) { s.sendLateSyn(s.drawBalancer(), s.drawFlow()) },
+		"caller opens an accepted flow":          func(*rapid.T) { s.openAccepted() },
+		"target becomes full or has room":        func(*rapid.T) { s.changeRoom(s.drawTarget()) },
+		"route is given weights":                 func(*rapid.T) { s.giveRouteWeights() },
+		"route is dropped":                       func(*rapid.T) { s.dropRoute() },
 		"route is given a service":               func(*rapid.T) { s.giveRoute(rapid.SampledFrom(services).Draw(s.T, "service")) },
 	}
 }
@@ -61,9 +67,10 @@
 	s.openFlow(n)
 }
 
-// TestModelFlowSearch checks that no open flow is reset while its target is running, whatever datagrams are lost
-// or delayed and whatever processes are replaced. Once datagrams arrive again and views are confirmed, the
-// packets of each flow must reach its target.
+// TestModelFlowSearch checks that no open flow is reset while its target is running, and that each SYN is offered only to
+// targets that the configuration in force allows, whatever datagrams are lost or delayed, whatever processes are replaced
+// and however routes change. Once datagrams arrive again and views are confirmed, the packets of each flow must reach
+// its target, and new flows are accepted.
 func TestModelFlowSearch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(t)
@@ -75,6 +82,7 @@
 // requireRecovery makes all agents reachable again and checks that each flow is served through each balancer.
 func (s *sim) requireRecovery() {
 	s.receiveAll()
+	s.restoreRoute()
 	for n := range s.targets {
 		s.targets[n].silent = false
 	}
@@ -86,6 +94,7 @@
 			s.requireServed(n, port)
 		}
 	}
+	s.requireOpening()
 }
 
 // maxRecoveryPackets is the maximum number of packets that a caller sends until one reaches the owner of the flow.
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -40,7 +40,12 @@
 	service string
 	running bool
 	silent  bool            // its agent is unreachable
+	full    bool            // it accepts no new flows
 	flows   map[uint16]bool // ports of the flows that it owns
+
+	// Ports of the new flows that it has accepted, or that wait beside it. Their callers may open them elsewhere.
+	accepted map[uint16]bool
+	queued   []uint16
 }
 
 // sim is a simulated deployment in which datagrams are delayed or lost, views are outdated, and balancers and
@@ -56,12 +61,13 @@
 	targets      []simulatedTarget
 	targetStarts int
 	inFlight     []datagram
-	ports        uint16         // number of flows opened so far; they use the ports from 1 on, each once
+	ports        uint16         // number of flows so far; they use the ports from 1 on, each once
+	syns         map[uint16]int // number of SYNs sent, by flow that is opening
 	delivered    map[uint16]int // number of packets that the owner received, by flow
 }
 
 func newSim(t *rapid.T) *sim {
-	s := &sim{T: t, now: time.Second, store: &fleet{dir: directory.New()}, delivered: make(map[uint16]int)}
+	s := &sim{T: t, now: time.Second, store: &fleet{dir: directory.New()}, delivered: make(map[uint16]int), syns: make(map[uint16]int)}
 	s.giveRoute(service)
 	balancers := rapid.IntRange(1, maxBalancers).Draw(t, "balancers")
 	s.balancers, s.incarnations = make([]*dispatch.Dispatcher, balancers), make([]int, balancers)
@@ -87,7 +93,7 @@
 	s.targetStarts++
 	s.targets[n] = simulatedTarget{
 		id: fmt.Sprintf("i-%d", s.targetStarts), service: rapid.SampledFrom(services).Draw(s.T, "service"),
-		running: true, flows: make(map[uint16]bool),
+		running: true, flows: make(map[uint16]bool), accepted: make(map[uint16]bool),
 	}
 	s.putTarget(n, directory.TargetReady)
 }
@@ -162,16 +168,23 @@
 }
 
 // execute carries out the decision of a balancer about a packet. It fails the test if the decision resets a flow
-// whose owner is running.
+// whose owner is running, or places a new flow where the balancer's view does not allow it. A reset in response to a SYN
+// does not end an open flow, since its sequence number is that of a SYN.
 func (s *sim) execute(n int, d dispatch.Decision, p *flow.Packet) {
 	switch d.Outcome {
 	case dispatch.OutcomeForward:
+		if p.OpensFlow() {
+			s.requirePlacement(n, &d, p)
+		}
 		s.send(n, d.Target.Address.IP, d.Header, p)
 	case dispatch.OutcomeSearch:
 		for _, path := range d.Paths {
 			s.send(n, path.First.Address.IP, path.Header, p)
 		}
 	case dispatch.OutcomeReset:
+		if p.OpensFlow() {
+			return
+		}
 		require.Nil(s.T, s.owner(p.From.Port), "flow %d is reset although its target is running", p.From.Port)
 	}
 }
@@ -193,9 +206,13 @@
 	}
 }
 
-// receiveAtAgent handles a packet of an open flow as an agent does.
+// receiveAtAgent handles a packet as an agent does.
 func (s *sim) receiveAtAgent(m datagram) {
 	t := &s.targets[m.agent[3]]
+	if m.packet.OpensFlow() {
+		s.receiveSyn(m, t)
+		return
+	}
 	port := m.packet.From.Port
 	isOtherService := m.header.Service != directory.NameHash(t.service)
 	switch {
