Do not queue data of a flow that was opened at another target

What callers could see: a request of an open flow that waits at a target which does not own the flow, for up to its deadline, before anyone searches for the owner.

The balancer sends the first data to the target that it offered the flow to last. If that target had no free slot, its agent queued the data as the first request of its own flow, although the packet acknowledges another target's SYN+ACK. The same where its SYN was still queued at the agent.

Change: such data goes to the target at once, which returns it, so that the balancer searches. It counts neither as a request nor, when it is returned, as a lost one or as a refusal of a new flow. A SYN that is queued there leaves the queue: its caller needs it no more.

--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -106,18 +106,20 @@
 
 // flowState is the state of a flow.
 type flowState struct {
-	phase        requestPhase
-	since        time.Duration // start of the phase, or last new data of the request in progress
-	synSentAt    time.Duration // when the caller sent its first SYN; 0: unknown, or the first request has arrived
-	stuck        bool          // the request in progress has had no response for stuckTimeout
-	confirmed    bool          // the target has sent a packet of the flow other than its SYN+ACK
-	synAcked     bool          // the target has sent a SYN+ACK, with sequence number synAckSeq
-	synAckSeq    uint32
-	lastPacket   time.Duration // when the target last sent a packet of the flow
-	callerEnd    uint32        // sequence number after the caller's last new byte
-	callerEndSet bool
-	response     response
-	searcher     flow.Endpoint // balancer that searches for the flow and is to be notified if the target owns it
+	phase     requestPhase
+	since     time.Duration // start of the phase, or last new data of the request in progress
+	synSentAt time.Duration // when the caller sent its first SYN; 0: unknown, or the first request has arrived
+	stuck     bool          // the request in progress has had no response for stuckTimeout
+	confirmed bool          // the target has sent a packet of the flow other than its SYN+ACK
+	synAcked  bool          // the target has sent a SYN+ACK, with sequence number synAckSeq
+	synAckSeq uint32
+	// opensElsewhere is set if the caller opened the flow at another target while its SYN was queued here.
+	opensElsewhere bool
+	lastPacket     time.Duration // when the target last sent a packet of the flow
+	callerEnd      uint32        // sequence number after the caller's last new byte
+	callerEndSet   bool
+	response       response
+	searcher       flow.Endpoint // balancer that searches for the flow and is to be notified if the target owns it
 }
 
 // Gate holds the state of one target. It is not safe for concurrent use.
--- a/targetgate/gate_test.go
+++ b/targetgate/gate_test.go
@@ -34,6 +34,13 @@
 	return &flow.Packet{Seq: seq, AckFlag: true, DataLen: 100}
 }
 
+// requestAcknowledging returns the first request of a flow, which acknowledges a SYN+ACK.
+func requestAcknowledging(synAckSeq uint32) *flow.Packet {
+	p := request(1)
+	p.Ack = synAckSeq + 1
+	return p
+}
+
 var response = &flow.Packet{AckFlag: true, DataLen: 500}
 
 // slots is the number of requests that the target of these tests serves concurrently.
--- a/targetgate/requests.go
+++ b/targetgate/requests.go
@@ -26,7 +26,7 @@
 ) (confirmed bool, action Action) {
 	s, found := g.flows.Get(key, now)
 	if !found {
-		s = &flowState{}
+		s = &flowState{opensElsewhere: g.flowQueue.removeFlow(key)}
 		g.flows.Put(key, s, now)
 	}
 	confirmed = s.isConfirmed(p)
@@ -41,6 +41,9 @@
 		g.endRequest(key, s)
 	case searcher.IsValid() && !confirmed:
 		// A search tries all targets: the flow counts as load only at the target that owns it.
+	case s.isOpenElsewhere(p, confirmed):
+		// The target returns the packet at once. In the queue it would only delay the search for the owner.
+		s.phase = requestNone
 	case p.DataLen > 0 && g.recordNewData(s, p):
 		return confirmed, g.callerData(key, s, p, now)
 	case s.phase == requestQueued && (p.DataLen > 0 || p.Fin):
@@ -57,6 +60,12 @@
 	return s.confirmed || s.phase == requestQueued || acksSyn
 }
 
+// isOpenElsewhere reports whether the packet shows that the caller has opened the flow at another target: it acknowledges
+// another SYN+ACK than this target's, or arrives while the SYN still waits for this target.
+func (s *flowState) isOpenElsewhere(p *flow.Packet, confirmed bool) bool {
+	return !confirmed && (s.opensElsewhere || (s.synAcked && p.AckFlag))
+}
+
 // callerData decides what happens to a packet with new data of a caller. Data on a flow without a request begins
 // one.
 func (g *Gate) callerData(key flow.Key, s *flowState, p *flow.Packet, now time.Duration) Action {
--- a/targetgate/waitqueue.go
+++ b/targetgate/waitqueue.go
@@ -109,7 +109,9 @@
 	q.items = q.items[:len(q.items)-1]
 }
 
-// removeFlow removes the entry of a flow, if there is one.
-func (q *waitQueue) removeFlow(key flow.Key) {
+// removeFlow removes the entry of a flow and reports whether there was one.
+func (q *waitQueue) removeFlow(key flow.Key) bool {
+	before := len(q.items)
 	q.items = slices.DeleteFunc(q.items, func(w waiter) bool { return w.key == key })
+	return len(q.items) < before
 }
