Pass retransmissions only to targets that new flows may go to

What callers of the path over QUIC saw: an agent that passes a new flow on remembers for 10 to 20 s where to, so that retransmissions follow. It went on passing them to a target that drained, had stopped, had left the fleet, or had been given to another service, until the caller gave up its handshake.

Change: mayPassTo asks the view in force whether new flows of the packet's service may go to the target; if not, another one is chosen and remembered. The balancer keeps no decision of its own. A flow that this agent accepted stays, since its handshake is in progress here.

--- a/tunnel/pass.go
+++ b/tunnel/pass.go
@@ -8,6 +8,7 @@
 	"github.com/cowslipward/cowslipward/fleet"
 	"github.com/cowslipward/cowslipward/internal/link"
 	"github.com/cowslipward/cowslipward/routing"
+	"github.com/cowslipward/cowslipward/rules"
 	"github.com/cowslipward/cowslipward/wire"
 )
 
@@ -83,7 +84,7 @@
 func (c *Conn) acceptOrPass(h *wire.Header, connectionID, body []byte, now time.Duration) bool {
 	key := routing.Key(connectionID, h.Caller)
 	to, known := c.decisions.lookup(key, now)
-	if !known || c.unavailable(to) {
+	if !known || (to.IsValid() && !c.mayPassTo(to, h.Service)) {
 		to = c.chooseTarget(h, key)
 		c.decisions.store(key, to, now)
 	}
@@ -122,15 +123,12 @@
 	return order[next].VM.Data
 }
 
-// unavailable reports whether the view shows that a target to which flows were passed no longer accepts
-// packets, because it is down or its failure domain is out.
-func (c *Conn) unavailable(to netip.AddrPort) bool {
-	if !to.IsValid() {
-		return false
-	}
+// mayPassTo reports whether the view in force allows new flows of the service to go to the target. It may have changed
+// since the flow's first packet was passed there.
+func (c *Conn) mayPassTo(to netip.AddrPort, service rules.ServiceID) bool {
 	view := c.cfg.Source.View()
 	target := view.TargetByAddress(to)
-	return target != nil && (target.State == fleet.StateDown || view.DomainOut(target.Domain))
+	return target != nil && target.Service == service && target.Eligible() && !view.DomainOut(target.Domain)
 }
 
 // passTo sends the caller's datagram to another agent. The header keeps the balancer as the sender, so that
