Drop held packets whose address was given to another service

What callers of the path over QUIC saw: a balancer that was paused holds the packets that arrive until its view is confirmed. Its answers then left from an address that the caller had not sent to; the caller got no connection (test: none in 20 s).

Listeners are closed when rules change, batches that they had read were not looked at again.

The caller's retransmission reaches the service in force. Established flows are unaffected: the listener of the new service drops packets with another service's connection ID as before.

Test: TestHeldPacketsFollowMovedAddress failed before (no answer in 21 s), passes now in 0.6 s.

--- a/balancer/change_test.go
+++ b/balancer/change_test.go
@@ -212,3 +212,29 @@
 	require.Equal(t, repliedBefore, balancers[1].Counts().Counted(link.EventReplied))
 	require.NotZero(t, agent.conn.Counts().Counted(link.EventReturnPathMoved))
 }
+
+// Guards against new flows that reach the service which had the address when the packet arrived: a packet that was held
+// while the view was not confirmed follows the rules that were confirmed.
+func TestHeldPacketsFollowMovedAddress(t *testing.T) {
+	b := newTestbed(t)
+	bench := b.startAgents(1)[0]
+	archive := b.startAgent("archive-1", "a", netip.AddrPort{}, 2)
+	source := newNoticeSource(b.source.View())
+	b.sprayOver(b.startBalancer("a", source))
+	source.unconfirmed.Store(true)
+	time.Sleep(settleTime)
+	client, _ := b.newClient()
+	answer := make(chan string, 1)
+	go func() {
+		body, _ := get(client, "/hello")
+		answer <- body
+	}()
+	time.Sleep(settleTime) // the first packet is held
+	b.services[0].Address, b.services[1].Address = b.services[1].Address, b.services[0].Address
+	b.publish()
+	source.Set(b.source.View())
+	time.Sleep(settleTime)
+	source.unconfirmed.Store(false)
+	require.Equal(t, archive.name, <-answer, "the address belongs to the archive now")
+	require.Zero(t, bench.conn.Counts().Counted(link.EventDelivered))
+}
--- a/balancer/forward.go
+++ b/balancer/forward.go
@@ -50,13 +50,19 @@
 }
 
 // forwardBatch routes the packets of a batch. The view gate is checked before routing and again before the
-// write, because the process may have been paused in between.
+// write, because the process may have been paused in between. A batch that was held meanwhile is dropped if its
+// address no longer belongs to the listener's service.
 func (b *Balancer) forwardBatch(l *listener, batch *udpbatch.Batch, n int) {
 	if !b.link.WaitConfirmed() {
 		return
 	}
 	w := workers.Get().(*worker)
+	defer w.release()
 	w.prepare(b, l, uint64(n))
+	if !b.isInForce(l, w.table.View.Rules()) {
+		b.link.Counts.DropN(link.DropWrongService, n)
+		return
+	}
 	for i := range n {
 		packet, complete := batch.Packet(i)
 		if !complete || len(packet) > wire.MaxDatagramIPv4 {
@@ -66,7 +72,6 @@
 		w.route(packet, batch.From(i))
 	}
 	w.send()
-	w.release()
 }
 
 func (w *worker) prepare(b *Balancer, l *listener, n uint64) {
--- a/balancer/listener.go
+++ b/balancer/listener.go
@@ -65,8 +65,7 @@
 func (b *Balancer) pruneListeners(set *rules.Set) listenerSet {
 	next := make(listenerSet, len(set.Services))
 	for id, l := range *b.listeners.Load() {
-		service := set.Service(id)
-		if service != nil && b.bindAddress(service) == l.address {
+		if b.isInForce(l, set) {
 			next[id] = l
 			continue
 		}
@@ -76,6 +75,13 @@
 	return next
 }
 
+// isInForce reports whether the rules give the listener's address to its service. Rules that were not received yet, as
+// after a start without peers, change nothing.
+func (b *Balancer) isInForce(l *listener, set *rules.Set) bool {
+	service := set.Service(l.service)
+	return set.Revision == 0 || (service != nil && b.bindAddress(service) == l.address)
+}
+
 func (b *Balancer) openListener(service *rules.Service) (*listener, error) {
 	address := b.bindAddress(service)
 	conn, err := udpbatch.Listen(address)
