--- a/agent/agent.go
+++ b/agent/agent.go
@@ -237,7 +237,11 @@
 // Snapshot returns the state of the admission limits, for the admin service.
 func (a *Agent) Snapshot() admission.Snapshot { return a.limiter.Snapshot() }
 
+// rules returns the current rules.
+func (a *Agent) rules() *rules.Set { return a.config.Source.View().Rules() }
+
 // service returns the service of this agent under the current rules, or nil.
-func (a *Agent) service() *rules.Service {
-	return a.config.Source.View().Rules().ServiceOfVM(a.config.Self.Name)
-}
+func (a *Agent) service() *rules.Service { return a.serviceIn(a.rules()) }
+
+// serviceIn returns the service of this agent under a set of rules, or nil.
+func (a *Agent) serviceIn(set *rules.Set) *rules.Service { return set.ServiceOfVM(a.config.Self.Name) }
--- a/agent/job.go
+++ b/agent/job.go
@@ -19,6 +19,7 @@
 	errUnconfirmed    = errors.New(reasonUnconfirmed)
 	errDomainOut      = errors.New(reasonDomainOut)
 	errPaused         = errors.New(reasonPaused)
+	errWrongService   = errors.New(reasonWrongService)
 )
 
 // job is a request that the agent is processing.
@@ -27,6 +28,7 @@
 	url          *url.URL // as sent by the caller
 	body         *sharedBody
 	service      *rules.Service
+	rules        *rules.Set // by which the request was validated
 	deadline     time.Time
 	ticketExpiry time.Time // zero without a ticket
 	admittedAt   time.Time // when a slot was granted
@@ -39,12 +41,17 @@
 
 // newJob validates a request against the current rules.
 func (a *Agent) newJob(r *http.Request) (*job, *refusal) {
+	arrived := a.rules()
 	if !a.awaitConfirmed(r.Context()) {
 		return nil, notRun(reasonUnconfirmed)
 	}
-	service := a.service()
-	if service == nil {
+	set := a.rules()
+	service := a.serviceIn(set)
+	switch {
+	case service == nil:
 		return nil, notRun(reasonNoService)
+	case arrived != set && a.isOtherService(service, arrived):
+		return nil, notRun(reasonWrongService)
 	}
 	deadline, err := parseDeadline(r.Header, time.Now(), service.Deadline)
 	if err != nil {
@@ -59,6 +66,7 @@
 		url:        r.URL,
 		body:       &sharedBody{source: body},
 		service:    service,
+		rules:      set,
 		deadline:   deadline,
 		atMostOnce: !service.IsRepeatable(r.Method),
 	}, nil
@@ -107,10 +115,28 @@
 		return errUnconfirmed
 	case a.lifecycle.current() == phaseDomainOut:
 		return errDomainOut
+	case !a.serves(j):
+		return errWrongService
 	}
 	return nil
 }
 
+// isOtherService reports whether a set of rules gives this VM to another service.
+func (a *Agent) isOtherService(service *rules.Service, set *rules.Set) bool {
+	other := a.serviceIn(set)
+	return other != nil && other.ID != service.ID
+}
+
+// serves reports whether the current rules give this VM to the service of the job. It searches the rules only if they have
+// changed since the request was validated.
+func (a *Agent) serves(j *job) bool {
+	set := a.rules()
+	if set == j.rules {
+		return true
+	}
+	return a.serviceIn(set) != nil && !a.isOtherService(j.service, set)
+}
+
 // targetRequest returns the request to send to the target, with a body obtained from the job.
 func (a *Agent) targetRequest(j *job, body io.ReadCloser) *http.Request {
 	out := &http.Request{
--- a/agent/request_test.go
+++ b/agent/request_test.go
@@ -191,7 +191,7 @@
 	var ran atomic.Int32
 	target := startTarget(t, func(http.ResponseWriter, *http.Request) { ran.Add(1) })
 	r := startTestAgent(t, target)
-	j := &job{deadline: time.Now().Add(time.Minute), admittedAt: time.Now()}
+	j := &job{service: r.agent.service(), deadline: time.Now().Add(time.Minute), admittedAt: time.Now()}
 	require.NoError(t, r.agent.checkDispatch(j))
 	require.ErrorIs(t, r.agent.checkDispatch(&job{deadline: time.Now()}), errDeadlinePassed)
 	j.ticketExpiry = time.Now()
