--- a/forward/search_retry.go
+++ b/forward/search_retry.go
@@ -31,8 +31,7 @@
 }
 
 // searchBuffer holds the packets of searches that have not ended, so that the balancer can retry them or ask further
-// targets. If a
-// target on a search path does not respond, the caller retransmits the packet, but routers may send that to
+// targets. If a target on a search path does not respond, the caller retransmits the packet, but routers may send that to
 // another balancer, whose search starts from the beginning.
 type searchBuffer struct {
 	flows      map[flow.Key]bufferedSearch
