--- a/cmd/cowslip-l4/agent.go
+++ b/cmd/cowslip-l4/agent.go
@@ -43,14 +43,16 @@
 
 func newAgent(s *settings.PacketAgent, outcomes *burn.Recorder[string], log *slog.Logger) (*forward.Agent, error) {
 	return forward.OpenAgent(forward.AgentConfig{
-		Service:    s.Service,
-		Target:     s.Target,
-		Outbound:   s.Outbound,
-		Tunnel:     s.Tunnel,
-		CallerPort: s.Packets.Port(),
-		Log:        log,
-		Sampler:    logsink.NewSampler(s.Log.Rate),
-		Outcomes:   outcomes,
+		Service:         s.Service,
+		Target:          s.Target,
+		Outbound:        s.Outbound,
+		Tunnel:          s.Tunnel,
+		CallerPort:      s.Packets.Port(),
+		Log:             log,
+		Sampler:         logsink.NewSampler(s.Log.Rate),
+		Outcomes:        outcomes,
+		LoadControl:     s.LoadControl,
+		ResetEndedFlows: s.ResetEndedFlows,
 	})
 }
 
--- a/cmd/cowslip-l4/balancer.go
+++ b/cmd/cowslip-l4/balancer.go
@@ -79,6 +79,7 @@
 		Log:              log,
 		Sampler:          logsink.NewSampler(s.Log.Rate),
 		Outcomes:         outcomes,
+		LoadControl:      s.LoadControl,
 		ConfirmView:      confirm.request,
 	})
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/encap"
 	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/loadcontrol"
 	"github.com/cowslipward/cowslipward/placement"
 )
 
@@ -55,6 +56,7 @@
 	wideSearches   pathBudget               // of the searches over scopeOthers
 	viewComparison viewComparison
 	domainOutGrace time.Duration // how long open flows are kept in a failure domain that is out
+	loadControl    loadcontrol.Settings
 }
 
 // KeepFlowsForever is the grace period of a dispatcher that keeps forwarding open flows to failure domains that
@@ -76,6 +78,9 @@
 	}
 }
 
+// SetLoadControl sets the load control. Without a call it is off.
+func (d *Dispatcher) SetLoadControl(s loadcontrol.Settings) { d.loadControl = s }
+
 // SetView replaces the view by one that the store confirmed at the steady time confirmedAt.
 func (d *Dispatcher) SetView(view *directory.View, confirmedAt, now time.Duration) {
 	d.confirmedAt = max(d.confirmedAt, confirmedAt)
--- a/encap/encap.go
+++ b/encap/encap.go
@@ -35,8 +35,8 @@
 	// KindReturn carries a packet back to the balancer because the target does not accept it.
 	KindReturn
 	// KindReport carries no packet: an agent reports the load of its target to a balancer. Its header is short and
-	// contains only Load, Waiting, Silent and a nonzero FailedPercent, since reports are most of the traffic of large
-	// fleets.
+	// contains only Load, Waiting, Silent, a nonzero FailedPercent and, if one of them is nonzero, the fields of
+	// Capacity, since reports are most of the traffic of large fleets.
 	KindReport
 	// KindFound informs a balancer that the target owns the flow that the balancer searches for. It carries a
 	// packet of the flow.
@@ -56,9 +56,10 @@
 	ReasonCold                // the target is in its cold start and has reached its limit of new flows for this second
 	ReasonOtherService        // the target serves another service than the packet's
 	ReasonSilent              // the target does not answer
+	ReasonOverloaded          // for longer than the route's latency objective, the target could answer no more flows in time
 )
 
-var reasonNames = [...]string{"none", "refused", "busy", "cold", "other_service", "silent"}
+var reasonNames = [...]string{"none", "refused", "busy", "cold", "other_service", "silent", "overloaded"}
 
 // String returns the reason as written to logs.
 func (r Reason) String() string {
@@ -71,20 +72,21 @@
 // Header precedes a packet that is sent between a balancer and an agent, or between agents.
 type Header struct {
 	Kind            Kind
-	Reason          Reason // KindReturn: why the agent returned the packet
-	MayWait         bool   // for a SYN: the agent may queue it, since no other target accepts it now
-	Search          bool   // the packet belongs to a search for the target that owns the flow
-	Attempt         uint8  // number of targets that the packet was offered to before
-	Priority        uint8  // KindForward: priority of the route, 0 is the highest
-	Slots           uint8  // KindForward: concurrency limit of the target in requests; 255 means 255 or more
-	Load            uint8  // from an agent: requests in progress at its target, including flows that are about to send one
-	Waiting         uint8  // from an agent: new flows that wait for a slot
-	Silent          bool   // from an agent: the target does not answer
-	FailedPercent   uint8  // from an agent: percentage of its target's recent requests that failed
-	ColdRate        uint16 // KindForward: new flows per second that a cold target may accept, in tenths; 0: no limit
-	HoldMillis      uint16 // KindForward: how long the balancer held the packet
-	ObjectiveMillis uint16 // KindForward: response time objective of the route
-	Service         uint32 // hash of the name of the service that the packet is addressed to; KindFound: of the target
+	Reason          Reason   // KindReturn: why the agent returned the packet
+	MayWait         bool     // for a SYN: the agent may queue it, since no other target accepts it now
+	Search          bool     // the packet belongs to a search for the target that owns the flow
+	Attempt         uint8    // number of targets that the packet was offered to before
+	Priority        uint8    // KindForward: priority of the route, 0 is the highest
+	Slots           uint8    // KindForward: concurrency limit of the target in requests; 255 means 255 or more
+	Load            uint8    // from an agent: requests in progress at its target, including flows that are about to send one
+	Waiting         uint8    // from an agent: new flows that wait for a slot
+	Silent          bool     // from an agent: the target does not answer
+	FailedPercent   uint8    // from an agent: percentage of its target's recent requests that failed
+	ColdRate        uint16   // KindForward: new flows per second that a cold target may accept, in tenths; 0: no limit
+	HoldMillis      uint16   // KindForward: how long the balancer held the packet
+	ObjectiveMillis uint16   // KindForward: response time objective of the route
+	Service         uint32   // hash of the name of the service that the packet is addressed to; KindFound: of the target
+	Capacity        Capacity // KindReport: what the target takes well; zero if the agent does not learn it
 
 	// Origin is the balancer that receives the reply if another agent forwarded the packet. Path lists the agents
 	// that a search visits next, and Round is the number of the search.
@@ -169,6 +171,9 @@
 		waiting |= reportSilentBit
 	}
 	b = append(b, byte(h.Kind), h.Load, waiting)
+	if h.Capacity != (Capacity{}) {
+		return h.Capacity.append(append(b, h.FailedPercent))
+	}
 	if h.FailedPercent > 0 {
 		b = append(b, h.FailedPercent)
 	}
@@ -181,6 +186,9 @@
 	if len(rest) > 0 {
 		h.FailedPercent, rest = rest[0], rest[1:]
 	}
+	if len(rest) >= capacityBytes {
+		h.Capacity, rest = decodeCapacity(rest), rest[capacityBytes:]
+	}
 	return h, rest
 }
 
--- a/encap/encap_test.go
+++ b/encap/encap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -115,3 +116,34 @@
 		}
 	})
 }
+
+// Guards against reports that balancers of versions without Capacity cannot read, or that lose a field.
+func TestReportWithCapacity(t *testing.T) {
+	h := encap.Header{Kind: encap.KindReport, Load: 2, Waiting: 3, Silent: true}
+	h.Capacity = encap.Capacity{WaitCode: 40, Limit: 2, RouteTag: 9, DurationCode: 118}
+	encoded := h.Append(nil)
+	require.Len(t, encoded, encap.ReportBytes+5)
+	decoded, rest, err := encap.Decode(encoded)
+	require.NoError(t, err)
+	require.Empty(t, rest)
+	require.Equal(t, h, decoded)
+	require.Zero(t, encoded[encap.ReportBytes], "the share of failures precedes the capacity, also if it is 0")
+
+	decoded, _, err = encap.Decode(encoded[:len(encoded)-1])
+	require.NoError(t, err)
+	require.Zero(t, decoded.Capacity, "an incomplete capacity is not used")
+}
+
+// Guards against durations and waits that change by more than their resolution on the way.
+func TestCodesOfTimes(t *testing.T) {
+	for _, d := range []time.Duration{time.Millisecond, 13 * time.Millisecond, 300 * time.Millisecond, 9 * time.Second} {
+		require.InEpsilon(t, float64(d), float64(encap.Duration(encap.DurationCode(d))), 0.03, d)
+	}
+	require.Zero(t, encap.DurationCode(0))
+	require.Zero(t, encap.Duration(0))
+	require.EqualValues(t, 255, encap.DurationCode(time.Hour))
+	require.EqualValues(t, 1, encap.DurationCode(time.Nanosecond))
+	require.Equal(t, 120*time.Millisecond, encap.Wait(encap.WaitCode(123*time.Millisecond)))
+	require.EqualValues(t, 255, encap.WaitCode(time.Minute))
+	require.Zero(t, encap.WaitCode(-time.Second))
+}
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -14,6 +14,7 @@
 	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/internal/logsink"
 	"github.com/cowslipward/cowslipward/internal/udpbatch"
+	"github.com/cowslipward/cowslipward/loadcontrol"
 	"github.com/cowslipward/cowslipward/platform"
 	"github.com/cowslipward/cowslipward/targetgate"
 )
@@ -28,6 +29,10 @@
 	Log        *slog.Logger
 	Sampler    *logsink.Sampler
 	Outcomes   *burn.Recorder[string] // request outcomes by service
+	// LoadControl applies to the target if its service is selected. The zero value is off.
+	LoadControl loadcontrol.Settings
+	// ResetEndedFlows makes the agent reset the flows of its target when it learns that the target has lost them.
+	ResetEndedFlows bool
 }
 
 const (
@@ -96,6 +101,7 @@
 		searches:       make(map[searchKey]pendingSearch),
 		closed:         make(chan struct{}),
 	}
+	a.gate.SetLoadControl(c.LoadControl, c.Service)
 	a.timerOutboxes = a.newOutboxes()
 	return a, nil
 }
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -18,6 +18,7 @@
 	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/internal/logsink"
 	"github.com/cowslipward/cowslipward/internal/udpbatch"
+	"github.com/cowslipward/cowslipward/loadcontrol"
 	"github.com/cowslipward/cowslipward/platform"
 )
 
@@ -32,6 +33,8 @@
 	Log              *slog.Logger
 	Sampler          *logsink.Sampler
 	Outcomes         *burn.Recorder[string] // request outcomes by service
+	// LoadControl applies to the services that it selects. The zero value is off.
+	LoadControl loadcontrol.Settings
 	// ConfirmView requests a view that the store confirms as current. It does not block.
 	ConfirmView func()
 }
@@ -90,6 +93,7 @@
 		dispatcher:         dispatch.New(c.Domain, c.domainOutGrace()),
 		closed:             make(chan struct{}),
 	}
+	b.dispatcher.SetLoadControl(c.LoadControl)
 	b.retryOutboxes = b.newOutboxes()
 	return b, nil
 }
--- a/settings/packets.go
+++ b/settings/packets.go
@@ -4,6 +4,8 @@
 	_ "embed"
 	"net/netip"
 	"time"
+
+	"github.com/cowslipward/cowslipward/loadcontrol"
 )
 
 // DefaultSettingsVariable is the environment variable that holds the path of the settings file if no flag is given.
@@ -11,13 +13,14 @@
 
 // PacketCommon holds the settings that the balancer and the agent of the packet path share.
 type PacketCommon struct {
-	VM            string         `json:"vm"`
-	FailureDomain string         `json:"failure_domain"`
-	Ready         netip.AddrPort `json:"ready"`      // TCP, readiness
-	Metrics       netip.AddrPort `json:"metrics"`    // TCP, metrics and administration
-	Tunnel        netip.AddrPort `json:"tunnel"`     // UDP, packets between balancers and agents
-	StopDelay     Duration       `json:"stop_delay"` // time from readiness turning false to the stop of the process
-	Log           PacketLog      `json:"log"`
+	VM            string               `json:"vm"`
+	FailureDomain string               `json:"failure_domain"`
+	Ready         netip.AddrPort       `json:"ready"`      // TCP, readiness
+	Metrics       netip.AddrPort       `json:"metrics"`    // TCP, metrics and administration
+	Tunnel        netip.AddrPort       `json:"tunnel"`     // UDP, packets between balancers and agents
+	StopDelay     Duration             `json:"stop_delay"` // time from readiness turning false to the stop of the process
+	Log           PacketLog            `json:"log"`
+	LoadControl   loadcontrol.Settings `json:"load_control"`
 }
 
 // PacketLog holds the settings of the log.
@@ -44,6 +47,8 @@
 	Target   netip.AddrPort `json:"target"`   // UDP, where the target receives packets
 	Outbound netip.AddrPort `json:"outbound"` // UDP, where the target sends its packets
 	Packets  netip.AddrPort `json:"packets"`  // UDP; only its port is used, on which callers receive packets
+	// ResetEndedFlows makes the agent reset the flows of its target when it learns that the target has lost them.
+	ResetEndedFlows bool `json:"reset_ended_flows"`
 }
 
 // Defaults of the packet path.
@@ -61,8 +66,9 @@
 
 func packetDefaults() PacketCommon {
 	return PacketCommon{
-		StopDelay: Duration(DefaultStopDelay),
-		Log:       PacketLog{Level: "info", Rate: DefaultPacketLogRate},
+		StopDelay:   Duration(DefaultStopDelay),
+		Log:         PacketLog{Level: "info", Rate: DefaultPacketLogRate},
+		LoadControl: loadControlDefaults(),
 	}
 }
 
@@ -74,6 +80,7 @@
 	c.require(isAddress(s.Tunnel), "tunnel", wantAddress)
 	c.require(isOneOf(s.Log.Level, "debug", "info", "warn", "error"), "log.level", "debug, info, warn or error")
 	c.require(s.Log.Rate > 0, "log.rate", "lines per second, above 0")
+	validateLoadControl(&s.LoadControl, c)
 }
 
 // LoadPacketBalancer reads and validates the settings of a balancer of the packet path.
--- a/settings/packets_test.go
+++ b/settings/packets_test.go
@@ -29,13 +29,17 @@
 
 func TestPacketSettingsErrorsNameTheField(t *testing.T) {
 	for field, change := range map[string][2]string{
-		"packets":          {`"packets": "127.0.0.11:7500"`, `"packets": "nowhere"`},
-		"store":            {`"store": "127.0.0.1:8500",`, ``},
-		"domain_out_flows": {`"domain_out_flows": "drop"`, `"domain_out_flows": "reset"`},
-		"log.rate":         {`"rate": 50`, `"rate": 0`},
-		"stop_delay":       {`"stop_delay": "2s"`, `"stop_delay": 2`},
-		"speed":            {`"vm": "entry-1"`, `"vm": "entry-1", "speed": 1`},
-		"vm":               {`"vm": "entry-1",`, ``},
+		"packets":                 {`"packets": "127.0.0.11:7500"`, `"packets": "nowhere"`},
+		"store":                   {`"store": "127.0.0.1:8500",`, ``},
+		"domain_out_flows":        {`"domain_out_flows": "drop"`, `"domain_out_flows": "reset"`},
+		"log.rate":                {`"rate": 50`, `"rate": 0`},
+		"stop_delay":              {`"stop_delay": "2s"`, `"stop_delay": 2`},
+		"load_control.max_slots":  {`"max_slots": 0`, `"max_slots": 256`},
+		"load_control.services":   {`"services": []`, `"services": [""]`},
+		"load_control.min_weight": {`"min_weight": 0.2`, `"min_weight": 1.5`},
+		"load_control.max_weight": {`"max_weight": 2.0`, `"max_weight": 0.5`},
+		"speed":                   {`"vm": "entry-1"`, `"vm": "entry-1", "speed": 1`},
+		"vm":                      {`"vm": "entry-1",`, ``},
 	} {
 		text := strings.Replace(settings.PacketBalancerExample, change[0], change[1], 1)
 		require.NotEqual(t, settings.PacketBalancerExample, text, field)
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/loadcontrol"
 )
 
 const (
@@ -124,6 +125,8 @@
 
 // Gate holds the state of one target. It is not safe for concurrent use.
 type Gate struct {
+	service          string // of the target; empty: load control is off
+	loadControl      loadcontrol.Settings
 	flows            *flow.Table[*flowState]
 	opening          []openingFlow // accepted flows without a request, oldest first
 	inProgress       map[flow.Key]*flowState
@@ -162,6 +165,11 @@
 	}
 }
 
+// SetLoadControl sets the load control for the target of a service. Without a call it is off.
+func (g *Gate) SetLoadControl(s loadcontrol.Settings, service string) {
+	g.loadControl, g.service = s, service
+}
+
 // Load returns the number of requests in progress and of accepted flows whose first request has not arrived.
 func (g *Gate) Load() int { return len(g.inProgress) + len(g.opening) }
 
