--- a/forward/agent_caller.go
+++ b/forward/agent_caller.go
@@ -27,6 +27,7 @@
 	case targetgate.Accept:
 		a.sendToTarget(out, packet, a.encodeToken(sender, h.Attempt))
 	case targetgate.Refuse:
+		a.countRefusal(h, reason)
 		a.returnPacket(out, a.balancers[sender].address, h.Attempt, reason, packet, now)
 	case targetgate.Wait:
 		queued := queuedSYN{balancer: sender}
--- a/forward/agent_metrics.go
+++ b/forward/agent_metrics.go
@@ -18,6 +18,17 @@
 		targetgate.Refuse: metrics.NewCounter(`cowslip_new_flows_total{verdict="refuse"}`),
 		targetgate.Wait:   metrics.NewCounter(`cowslip_new_flows_total{verdict="wait"}`),
 	}
+	refusedFlows = map[encap.Reason]*metrics.Counter{
+		encap.ReasonRefused:    metrics.NewCounter(`cowslip_refused_flows_total{reason="refused"}`),
+		encap.ReasonBusy:       metrics.NewCounter(`cowslip_refused_flows_total{reason="busy"}`),
+		encap.ReasonCold:       metrics.NewCounter(`cowslip_refused_flows_total{reason="cold"}`),
+		encap.ReasonSilent:     metrics.NewCounter(`cowslip_refused_flows_total{reason="silent"}`),
+		encap.ReasonOverloaded: metrics.NewCounter(`cowslip_refused_flows_total{reason="overloaded"}`),
+	}
+	shedFlows       = newShedCounters()
+	overloadSeconds = metrics.NewFloatCounter("cowslip_overload_seconds_total")
+	startedRequests = metrics.NewCounter("cowslip_started_requests_total")
+	startedRetries  = metrics.NewCounter("cowslip_started_retries_total")
 	lostRequests    = metrics.NewCounter("cowslip_lost_requests_total")
 	returnedPackets = newReturnCounters()
 	responses       = newResponseCounters()
@@ -38,8 +49,17 @@
 
 func newReturnCounters() map[encap.Reason]*metrics.Counter {
 	counters := make(map[encap.Reason]*metrics.Counter)
-	for reason := encap.ReasonRefused; reason <= encap.ReasonSilent; reason++ {
+	for reason := encap.ReasonRefused; reason <= encap.ReasonOverloaded; reason++ {
 		counters[reason] = metrics.NewCounter(fmt.Sprintf("cowslip_returned_packets_total{reason=%q}", reason.String()))
 	}
 	return counters
 }
+
+// newShedCounters returns a counter of shed flows for each priority level. Lower priorities count in the last one.
+func newShedCounters() [targetgate.PriorityLevels]*metrics.Counter {
+	var counters [targetgate.PriorityLevels]*metrics.Counter
+	for level := range counters {
+		counters[level] = metrics.NewCounter(fmt.Sprintf(`cowslip_shed_flows_total{priority="%d"}`, level))
+	}
+	return counters
+}
--- /dev/null
+++ b/targetgate/admission.go
@@ -0,0 +1,181 @@
+package targetgate
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/cowslipward/cowslipward/encap"
+)
+
+const (
+	// waitShare is the share of the slack of a request, its objective less the mean service time, that a new flow may
+	// wait. The rest covers service times above the mean and requests that arrive on open flows, which cannot be
+	// refused.
+	waitShare = 0.5
+	// lateWaitShare is the same for a flow that is too old to be answered in time.
+	lateWaitShare = 0.25
+	// recoveredShare is the share of the permitted wait below which an overload has ended. It is well below 1 because
+	// the wait varies around the permitted one while flows are refused.
+	recoveredShare = 0.25
+	// deferredBudgetShare is the share of its caller's time within which a deferred request is served if the target
+	// spends deferredShare of its starts on them.
+	deferredBudgetShare = 0.5
+	// startWeight is the weight of a started request in the moving averages of the shares of the priorities.
+	startWeight = 0.05
+)
+
+// PriorityLevels is the number of levels that priorities are grouped in.
+const PriorityLevels = 4
+
+// PriorityLevel returns the level of a priority. Priorities above the range count as the last level.
+func PriorityLevel(priority uint8) int { return min(int(priority), PriorityLevels-1) }
+
+// admission is the state of the admission control that sheds overload.
+type admission struct {
+	enabled        bool
+	policy         shedPolicy
+	callers        callerShares
+	startShares    [PriorityLevels]float64 // of the started requests, by priority; a moving average
+	deferredCredit float64                 // starts that are due to deferred requests
+	slotFree       []time.Duration         // scratch space of slotTimes
+	started        int                     // requests that the target got since the last call of TakeStarted
+	retries        int                     // retries among them
+}
+
+// shedPolicy holds the parameters by which the alternatives of the design note differ.
+type shedPolicy struct {
+	waitShare     float64
+	lateWaitShare float64
+	deferredShare float64
+	isDeferred    func(w *waiter, now, serviceTime time.Duration) bool
+	before        func(w, other *waiter) bool // order of requests of one priority that are not deferred
+}
+
+func defaultShedPolicy() shedPolicy {
+	return shedPolicy{
+		waitShare: waitShare, lateWaitShare: lateWaitShare, deferredShare: deferredShare,
+		isDeferred: (*waiter).isDeferred, before: dueBefore,
+	}
+}
+
+func newAdmission() *admission {
+	return &admission{policy: defaultShedPolicy(), callers: newCallerShares()}
+}
+
+// nextEntry returns the index of the entry of a queue to serve next.
+func (g *Gate) nextEntry(q *waitQueue, now time.Duration) int {
+	if g.admission.enabled {
+		return g.admission.next(q, g.slots, g.serviceTime, now)
+	}
+	return q.best(now, g.serviceTime)
+}
+
+// setSlots records the slots of the target, which determine whether it is under load control.
+func (g *Gate) setSlots(slots int) {
+	if slots != g.slots {
+		g.slots = slots
+		g.updateShedding()
+	}
+}
+
+func (g *Gate) updateShedding() { g.admission.enabled = g.loadControl.Sheds(g.service, g.slots) }
+
+// Sheds reports whether flows that could not be answered in time are refused.
+func (g *Gate) Sheds() bool { return g.admission.enabled }
+
+// decide is Offer with shedding. The reason is why the target cannot get the flow at once.
+func (g *Gate) decide(o *Offer, reason encap.Reason, now time.Duration) (Verdict, encap.Reason) {
+	switch reason {
+	case encap.ReasonNone:
+		g.accept(o, now)
+		return Accept, reason
+	case encap.ReasonSilent, encap.ReasonRefused:
+		return Refuse, reason
+	}
+	r := g.routeFor(o.Key.Service)
+	estimate := g.estimateWait(o.Priority, o.objectiveEnd(now), now)
+	cold := reason == encap.ReasonCold || !g.belowColdRate(o.ColdRate)
+	if cold {
+		estimate.extend(g.coldDelay(o.ColdRate, now))
+	}
+	accepted, overloaded := g.isAcceptable(o, r, &estimate)
+	r.overload.update(overloaded, estimate.fresh < g.permittedWait(o.objective(), recoveredShare), o.objective(), now)
+	switch {
+	case !accepted && r.overload.duration(now) > o.objective():
+		return Refuse, encap.ReasonOverloaded
+	case !accepted || !o.Last:
+		return Refuse, reason
+	case cold:
+		next := o.waiter(now)
+		g.flowQueue.put(&next)
+		return Wait, reason
+	default:
+		g.accept(o, now) // its request waits
+		return Accept, reason
+	}
+}
+
+// objective returns the time within which the flow's request has to be answered. Without an objective, that is the
+// time for which callers wait for a connection.
+func (o *Offer) objective() time.Duration { return cmp.Or(o.LatencyObjective, connectTimeout) }
+
+func (o *Offer) objectiveEnd(now time.Duration) time.Duration { return now - o.age() + o.objective() }
+
+// permittedWait returns a share of the longest time that a new request may wait for a slot. The share applies to the
+// policy's share of the slack.
+func (g *Gate) permittedWait(objective time.Duration, share float64) time.Duration {
+	slack := max(0, objective-g.serviceTime)
+	return time.Duration(share * g.admission.policy.waitShare * float64(slack))
+}
+
+// isAcceptable reports whether a flow that has to wait may do so, and whether the target is overloaded: it could not
+// answer a new flow of the same caller in time either.
+func (g *Gate) isAcceptable(o *Offer, r *route, w *waitEstimate) (accepted, overloaded bool) {
+	objective := o.objective()
+	fair := g.admission.callers.fairness(o.Key.Caller.IP, o.Priority)
+	switch {
+	case w.deferred > g.maxDeferred(r), w.fresh > g.permittedWait(objective, fair):
+		return false, true
+	case o.age()+g.serviceTime > objective: // late
+		limit := g.permittedWait(objective, g.admission.policy.lateWaitShare*fair/g.admission.policy.waitShare)
+		return w.all <= limit, false
+	default:
+		return o.age()+w.own+g.serviceTime <= objective, false
+	}
+}
+
+// maxDeferred returns the number of deferred requests up to which new flows are accepted. The target serves these in
+// time for their callers, even if it spends only deferredShare of its starts on them.
+func (g *Gate) maxDeferred(r *route) int {
+	budget := maxQueueDelay
+	if r.budget.votes >= confidentVotes {
+		budget = r.budget.value
+	}
+	share := g.admission.policy.deferredShare * deferredBudgetShare
+	return int(share * float64(budget) * float64(g.slots) / float64(max(g.serviceTime, time.Microsecond)))
+}
+
+// countStart counts a request that the target gets.
+func (a *admission) countStart(w *waiter) {
+	a.started++
+	if w.isRetry() {
+		a.retries++
+	}
+	level := PriorityLevel(w.class.priority)
+	for i := range a.startShares {
+		started := 0.0
+		if i == level {
+			started = 1
+		}
+		a.startShares[i] += startWeight * (started - a.startShares[i])
+	}
+}
+
+// TakeStarted returns the number of requests that the target got since the last call, and the number of retries among
+// them.
+func (g *Gate) TakeStarted() (started, retries int) {
+	a := g.admission
+	started, retries = a.started, a.retries
+	a.started, a.retries = 0, 0
+	return started, retries
+}
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -127,6 +127,7 @@
 type Gate struct {
 	service          string // of the target; empty: load control is off
 	loadControl      loadcontrol.Settings
+	admission        *admission
 	flows            *flow.Table[*flowState]
 	opening          []openingFlow // accepted flows without a request, oldest first
 	inProgress       map[flow.Key]*flowState
@@ -153,6 +154,8 @@
 	key   flow.Key
 	state *flowState
 	at    time.Duration
+	class class
+	sent  time.Duration // when the caller sent its first SYN
 }
 
 // New returns a gate without flows.
@@ -162,12 +165,14 @@
 		inProgress:  make(map[flow.Key]*flowState),
 		routes:      make(map[flow.Endpoint]*route),
 		serviceTime: initialServiceTime,
+		admission:   newAdmission(),
 	}
 }
 
 // SetLoadControl sets the load control for the target of a service. Without a call it is off.
 func (g *Gate) SetLoadControl(s loadcontrol.Settings, service string) {
 	g.loadControl, g.service = s, service
+	g.updateShedding()
 }
 
 // Load returns the number of requests in progress and of accepted flows whose first request has not arrived.
@@ -230,12 +235,12 @@
 	if len(g.flowQueue.items) == 0 || g.Load() >= g.maxLoad() || len(g.requestQueue.items) > 0 {
 		return flow.Key{}, false
 	}
-	best := g.flowQueue.best(now, g.serviceTime)
+	best := g.nextEntry(&g.flowQueue, now)
 	next := g.flowQueue.items[best]
 	if !g.belowColdRate(next.coldRate) {
 		return flow.Key{}, false
 	}
 	g.flowQueue.remove(best)
-	g.accept(next.key, next.arrived, now)
+	g.acceptWaiter(&next, now)
 	return next.key, true
 }
--- a/targetgate/offer.go
+++ b/targetgate/offer.go
@@ -10,22 +10,25 @@
 // Offer decides whether the target gets a new flow, and returns the reason if it does not get it at once or gets
 // it although all slots are in use.
 func (g *Gate) Offer(o *Offer, now time.Duration) (Verdict, encap.Reason) {
-	g.slots = max(1, o.Slots)
+	g.setSlots(max(1, o.Slots))
 	g.updateRoute(o)
 	g.Expire(now)
 	if s, found := g.flows.Get(o.Key, now); found && s.phase != requestNone {
 		return Accept, encap.ReasonNone // a retransmission of a SYN that the target already has
 	}
 	reason := g.refusalReason(o, now)
+	if g.admission.enabled {
+		return g.decide(o, reason, now)
+	}
 	switch {
 	case reason == encap.ReasonNone:
-		g.accept(o.Key, now-o.age(), now)
+		g.accept(o, now)
 		return Accept, reason
 	case !o.Last || reason == encap.ReasonSilent || reason == encap.ReasonRefused || !g.canWait(o, now):
 		return Refuse, reason
 	case reason == encap.ReasonBusy && g.belowColdRate(o.ColdRate):
 		// Its request is queued instead: unlike a SYN, a request states how long its caller will wait.
-		g.accept(o.Key, now-o.age(), now)
+		g.accept(o, now)
 		return Accept, reason
 	default:
 		next := o.waiter(now)
@@ -107,12 +110,21 @@
 	return time.Duration(requests) * g.serviceTime / time.Duration(g.slots)
 }
 
-// accept records that the target gets a new flow whose first SYN was sent at the monotonic time sent.
-func (g *Gate) accept(key flow.Key, sent, now time.Duration) {
-	s := &flowState{phase: requestOpening, since: now, synSentAt: sent}
-	g.flows.Put(key, s, now)
-	g.opening = append(g.opening, openingFlow{key: key, state: s, at: now})
+// accept records that the target gets a new flow.
+func (g *Gate) accept(o *Offer, now time.Duration) {
+	next := o.waiter(now)
+	g.acceptWaiter(&next, now)
+}
+
+// acceptWaiter records that the target gets the new flow of a queue entry.
+func (g *Gate) acceptWaiter(w *waiter, now time.Duration) {
+	s := &flowState{phase: requestOpening, since: now, synSentAt: w.arrived}
+	g.flows.Put(w.key, s, now)
+	g.opening = append(g.opening, openingFlow{key: w.key, state: s, at: now, class: w.class, sent: w.arrived})
 	g.coldAccepts = append(g.coldAccepts, now)
 	g.ExpectReply(now)
 	g.lastAccept = now
+	if g.admission.enabled {
+		g.admission.callers.count(w.key.Caller.IP, w.class.priority, now)
+	}
 }
--- a/targetgate/requests.go
+++ b/targetgate/requests.go
@@ -79,6 +79,7 @@
 	next := g.requestWaiter(key, s, p.Budget, now)
 	s.synSentAt = 0
 	if g.canStartRequest() {
+		g.admission.countStart(&next)
 		g.startRequest(key, s, now)
 		return ActionStartRequest
 	}
@@ -122,10 +123,12 @@
 func (g *Gate) NextRequest(now time.Duration) (flow.Key, bool) {
 	g.Expire(now)
 	for len(g.requestQueue.items) > 0 && g.hasFreeSlot() {
-		best := g.requestQueue.best(now, g.serviceTime)
-		key := g.requestQueue.items[best].key
+		best := g.nextEntry(&g.requestQueue, now)
+		next := g.requestQueue.items[best]
+		key := next.key
 		g.requestQueue.remove(best)
 		if s, found := g.flows.Get(key, now); found && s.phase == requestQueued {
+			g.admission.countStart(&next)
 			g.startRequest(key, s, now)
 			return key, true
 		}
--- a/targetgate/route.go
+++ b/targetgate/route.go
@@ -18,8 +18,9 @@
 
 // route is the state of the requests to one address of a service.
 type route struct {
-	class  class
-	budget typicalBudget
+	class    class
+	budget   typicalBudget
+	overload overload
 }
 
 // typicalBudget estimates the time that callers allow for a request when they first send it. A retry has less of
