Balancer: refuse flows of overloaded services at the first SYN

Under overload a flow was offered to up to nine targets for each of its SYNs, and only the third SYN, 600 ms later, was answered with a reset.

Keeps what targets say about overload (reports with a wait above the objective, refusals with the reason "overloaded", with their priority). If three quarters of the eligible targets of a service said so within 500 ms, a flow goes directly to up to three targets, with the permission to wait, and is reset at once if all of them are overloaded.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -54,7 +54,7 @@
 	CauseNoTarget        Cause = "no_target"       // the service has no target that may accept new flows
 	CauseNoRoom          Cause = "no_room"         // no target accepts or queues the flow now; a retransmission may succeed
 	CauseIsolated        Cause = "isolated"        // the balancer reaches no agent, and this is the last retransmission
-	CauseOverload        Cause = "overload"        // no target accepts or queues the last retransmission of a SYN
+	CauseOverload        Cause = "overload"        // no target accepts or queues the last retransmission of a SYN, or an earlier one if the service is known to be overloaded
 	CauseUnknownFlow     Cause = "unknown_flow"    // no target owns the flow
 	CauseMissUnconfirmed Cause = "miss_unproved"   // no target of a view that may be outdated owns the flow
 	CauseDomainOut       Cause = "domain_out"      // the target of the flow is in a failure domain that is out of service
@@ -95,6 +95,7 @@
 	Header     encap.Header      // of OutcomeForward
 	Paths      []SearchPath      // of OutcomeSearch
 	Service    string
+	Shed       bool          // of CauseOverload: refused at once, because the service is known to be overloaded
 	Seq        uint32        // of OutcomeReset: sequence number that the caller expects
 	SearchTime time.Duration // of CauseUnknownFlow: time since the first search for the flow started
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -34,8 +34,9 @@
 // entry is the state of a flow in the table.
 type entry struct {
 	target         *directory.Target
-	service        string   // of the target; of a new flow: the one that the route gave it
-	opening        bool     // only SYNs were received so far
+	service        string // of the target; of a new flow: the one that the route gave it
+	opening        bool   // only SYNs were received so far
+	direct         directOffers
 	retransmission int      // highest retransmission number of the SYN so far
 	waiting        bool     // the SYN is queued at the target
 	tried          []uint64 // keys of the targets that refused the SYN or did not answer it
@@ -47,6 +48,7 @@
 type Dispatcher struct {
 	chooser        placement.Chooser
 	loads          *placement.LoadTracker
+	overload       *placement.OverloadTracker
 	table          *flow.Table[*entry]
 	view           *directory.View
 	confirmedAt    time.Duration            // steady time at which the store confirmed the view
@@ -66,12 +68,13 @@
 // New returns the dispatcher of a balancer in the failure domain home. New flows are never placed in a failure domain
 // that is out of service. Packets of open flows are dropped once their domain has been out for domainOutGrace.
 func New(home string, domainOutGrace time.Duration) *Dispatcher {
-	loads := placement.NewLoadTracker()
+	loads, view := placement.NewLoadTracker(), directory.New().View()
 	return &Dispatcher{
 		chooser:        placement.Chooser{LocalDomain: home, Loads: loads},
 		loads:          loads,
 		table:          flow.NewTable[*entry](defaultIdleTimeout, maxTableEntries),
-		view:           directory.New().View(),
+		overload:       placement.NewOverloadTracker(view),
+		view:           view,
 		domainOutSince: make(map[string]time.Duration),
 		domainOutGrace: domainOutGrace,
 		wideSearches:   pathBudget{left: wideSearchPathsPerSecond},
@@ -92,6 +95,7 @@
 		d.table.SetIdleTimeout(view.Config.IdleTimeout)
 	}
 	d.loads.Prune(view)
+	d.overload.SetView(view, now)
 	for domain := range d.domainOutSince {
 		if !view.IsDomainOut(domain) {
 			delete(d.domainOutSince, domain)
@@ -117,6 +121,7 @@
 func (d *Dispatcher) HandleReport(ip [4]byte, h *encap.Header, now time.Duration) {
 	d.loads.RecordReport(ip, int(h.Load), int(h.Waiting), h.Silent, now)
 	d.loads.RecordFailureRate(ip, float64(h.FailedPercent)/100, now)
+	d.recordCapacity(ip, h, now)
 	if d.view.TargetByIP(ip) != nil {
 		d.loads.RecordAgentContact(now)
 	}
@@ -187,7 +192,9 @@
 }
 
 // markOpen ends the placement of a new flow, since the caller has opened it.
-func (e *entry) markOpen() { e.opening, e.waiting, e.tried = false, false, nil }
+func (e *entry) markOpen() {
+	e.opening, e.waiting, e.tried, e.direct = false, false, nil, directOffers{}
+}
 
 // isTargetGone reports whether the target is no longer in the view and its agent no longer sends reports.
 func (d *Dispatcher) isTargetGone(t *directory.Target, now time.Duration) bool {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -27,11 +27,12 @@
 		d.table.Delete(key)
 		return Decision{Outcome: OutcomeReset, Cause: CauseIsolated, Service: e.service, Seq: p.Ack}
 	}
-	if e.waiting {
+	if e.waiting && !d.isDirectTargetLost(e, now) {
 		return d.offer(e, true, cause, p, now)
 	}
 	e.addTried()
-	return d.offerNext(key, e, cause, p, now)
+	e.waiting, e.direct = false, directOffers{}
+	return d.offerNext(key, e, cause, p, route, now)
 }
 
 // addTried adds the target that the flow was last offered to, if there is one, to those that did not accept it.
@@ -46,7 +47,7 @@
 // accepts an earlier SYN all the same, a search finds the flow there.
 func (d *Dispatcher) updatePlacement(key flow.Key, e *entry, route *directory.Route) {
 	if service := route.ChooseService(key.Hash()); service != e.service {
-		e.service, e.target, e.waiting, e.tried = service, nil, false, nil
+		e.service, e.target, e.waiting, e.tried, e.direct = service, nil, false, nil, directOffers{}
 		return
 	}
 	if !e.waiting {
@@ -61,7 +62,10 @@
 
 // offerNext offers a new flow to the best target that it was not offered to yet. If there is none, the least busy
 // target may queue the flow.
-func (d *Dispatcher) offerNext(key flow.Key, e *entry, cause Cause, p *flow.Packet, now time.Duration) Decision {
+func (d *Dispatcher) offerNext(key flow.Key, e *entry, cause Cause, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
+	if direct, ok := d.offerDirectly(key, e, cause, p, route, now); ok {
+		return direct
+	}
 	var t *directory.Target
 	if len(e.tried) < maxOffers {
 		t = d.chooser.Choose(d.view, e.service, key.Hash(), e.tried, now)
@@ -106,7 +110,7 @@
 	if p.Retransmission >= lastRetransmission {
 		return d.refuse(key, e, CauseOverload, p, now)
 	}
-	e.waiting, e.target, e.tried = false, nil, nil
+	e.waiting, e.target, e.tried, e.direct = false, nil, nil, directOffers{}
 	return Decision{Cause: CauseNoRoom}
 }
 
@@ -116,15 +120,26 @@
 		return Decision{Cause: CauseStaleReturn}
 	}
 	d.updatePlacement(key, e, route)
-	if e.waiting {
+	if h.Reason == encap.ReasonOverloaded {
+		d.recordOverload(ip, e, p, route, now)
+	}
+	if e.waiting && e.direct.made == 0 {
 		return d.handleNoRoom(key, e, p, now)
 	}
-	switch h.Reason {
+	d.recordRefusal(ip, h.Reason, now)
+	if e.waiting {
+		return d.handleDirectRefusal(key, e, p, route, now)
+	}
+	e.addTried()
+	return d.offerNext(key, e, CauseNextTarget, p, route, now)
+}
+
+// recordRefusal records why a target refused a new flow.
+func (d *Dispatcher) recordRefusal(ip [4]byte, reason encap.Reason, now time.Duration) {
+	switch reason {
 	case encap.ReasonBusy:
 		d.loads.RecordNoFreeSlots(ip, now)
 	case encap.ReasonRefused, encap.ReasonOtherService, encap.ReasonSilent:
 		d.loads.RecordRefusal(ip, now)
 	}
-	e.addTried()
-	return d.offerNext(key, e, CauseNextTarget, p, now)
 }
--- /dev/null
+++ b/placement/shortest_wait.go
@@ -0,0 +1,66 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cowslipward/cowslipward/directory"
+)
+
+// ShortestWait returns the target to which a new flow of an overloaded service is offered with the permission to wait,
+// or nil if none is left. It considers the first few candidates in the flow's order of preference that were not tried
+// and may have room, as far as is known, or the first few in any state if there are none. Considering few keeps
+// processes with outdated reports from all choosing the same target.
+func (c *Chooser) ShortestWait(view *directory.View, class Class, hash uint64, tried []uint64, overload *OverloadTracker, now time.Duration) *directory.Target {
+	var withRoom, other shortest
+	for _, t := range c.ranker.RankTop(view.Targets(class.Service), c.LocalDomain, hash) {
+		if !Eligible(view, t) || isTried(tried, t) {
+			continue
+		}
+		wait := c.cost(t, now) + overload.waitShare(t, &class, now)
+		if c.mayHaveRoom(t, &class, overload, now) {
+			withRoom.consider(t, wait)
+		} else {
+			other.consider(t, wait)
+		}
+	}
+	if withRoom.target != nil {
+		return withRoom.target
+	}
+	return other.target
+}
+
+// mayHaveRoom reports whether the target is known to answer and did not say that it is overloaded.
+func (c *Chooser) mayHaveRoom(t *directory.Target, class *Class, overload *OverloadTracker, now time.Duration) bool {
+	if t.ExpiredAt != 0 || c.Loads.inBackoff(t.Address.IP, now) || c.Loads.Unresponsive(t.Address.IP, now) {
+		return false
+	}
+	s := overload.byIP[t.Address.IP]
+	since := now - statementLifetime
+	return s != nil && s.reportedAt != 0 && s.reportedAt >= since && s.wait <= class.Objective && !s.refused(class, since)
+}
+
+// waitShare returns the wait that the target last reported, as a multiple of the objective of the class.
+func (o *OverloadTracker) waitShare(t *directory.Target, class *Class, now time.Duration) float64 {
+	s := o.byIP[t.Address.IP]
+	if s == nil || now-s.reportedAt > statementLifetime || class.Objective <= 0 {
+		return 0
+	}
+	return float64(s.wait) / float64(class.Objective)
+}
+
+// shortest keeps the target with the shortest wait among the first few that it considers.
+type shortest struct {
+	target     *directory.Target
+	wait       float64
+	considered int
+}
+
+func (s *shortest) consider(t *directory.Target, wait float64) {
+	if s.considered >= localCandidates+remoteCandidates {
+		return
+	}
+	s.considered++
+	if s.target == nil || wait < s.wait {
+		s.target, s.wait = t, wait
+	}
+}
