Balancer: show overloaded services in metrics, logs and status

A balancer that refuses flows early has to show why. Adds cowslip_flows_shed_total by priority, cowslip_overloaded_services, cowslip_overload_seconds_total, the lines overload_began and overload_ended (five a second at most), fields of flow_decision for flows that were shed, and a column of packets status.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/cowslipward/cowslipward/dispatch"
 	"github.com/cowslipward/cowslipward/encap"
 	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/loadcontrol"
 )
 
 func benchDispatcher(targets int) *dispatch.Dispatcher {
@@ -69,6 +70,38 @@
 	}
 }
 
+// BenchmarkRefuseFlow measures a new flow that all targets refuse because of overload, until it is dropped (shed=false) or
+// reset (shed=true).
+func BenchmarkRefuseFlow(b *testing.B) {
+	for _, targets := range []int{52, 7100} {
+		for _, shed := range []bool{false, true} {
+			b.Run(fmt.Sprintf("targets=%d/shed=%t", targets, shed), func(b *testing.B) {
+				d := benchDispatcher(targets)
+				d.SetLoadControl(loadcontrol.Settings{MaxSlots: loadcontrol.MaxSlotsAll, ShedOverload: shed})
+				p := syn(1, 0)
+				report := encap.Header{Kind: encap.KindReport, Capacity: encap.Capacity{WaitCode: 255}}
+				now := seconds(1)
+				for ; now < seconds(1.5); now += 100 * ms {
+					for _, ip := range d.View().TargetIPs() {
+						d.HandleReport(ip, &report, now)
+					}
+					d.HandleCallerPacket(setCaller(p, 0), now)
+				}
+				offers := 0
+				b.ReportAllocs()
+				for n := range b.N {
+					setCaller(p, n)
+					decision := d.HandleCallerPacket(p, now)
+					for ; decision.Outcome == dispatch.OutcomeForward; offers++ {
+						decision = d.HandleReturn(decision.Target.Address.IP, returned(encap.ReasonOverloaded), p, now)
+					}
+				}
+				b.ReportMetric(float64(offers)/float64(b.N), "offers/op")
+			})
+		}
+	}
+}
+
 // BenchmarkTable reports the memory use per entry of the flow table.
 func BenchmarkTable(b *testing.B) {
 	for _, flows := range []int{10_000, 100_000} {
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -43,7 +43,7 @@
 	CausePlaced          Cause = "placed"          // new flow that is offered to a target
 	CauseRepeated        Cause = "repeated"        // retransmitted SYN that was not accepted before
 	CauseNextTarget      Cause = "next_target"     // new flow that the previous target refused
-	CauseWait            Cause = "wait"            // new flow that waits at one target because all are busy
+	CauseWait            Cause = "wait"            // new flow that may wait at the target, because all are busy
 	CauseOpen            Cause = "open"            // open flow whose target is in the flow table
 	CauseSearch          Cause = "search"          // open flow whose packet starts a search for its target
 	CauseSearchOthers    Cause = "search_others"   // no target of the route's services owns the flow; the others are asked
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -19,16 +19,22 @@
 	overloaded uint8 // offers that were refused because of overload
 }
 
-// recordCapacity records the wait that a report contains, if overload is shed at all.
+// mayShed reports whether overload of any service is shed.
+func (d *Dispatcher) mayShed() bool { return d.loadControl.ShedOverload && d.loadControl.MaxSlots > 0 }
+
+// recordCapacity records the wait that a report contains, if overload of the service of its target is shed.
 func (d *Dispatcher) recordCapacity(ip [4]byte, h *encap.Header, now time.Duration) {
-	if d.loadControl.ShedOverload && d.loadControl.MaxSlots > 0 && h.Kind == encap.KindReport {
+	if !d.mayShed() || h.Kind != encap.KindReport {
+		return
+	}
+	if t := d.view.TargetByIP(ip); t != nil && d.loadControl.Sheds(t.Service, t.Slots) {
 		d.overload.RecordReport(ip, h.Capacity.WaitCode, now)
 	}
 }
 
 // sheds reports whether overload of the service is shed.
 func (d *Dispatcher) sheds(service string) bool {
-	if !d.loadControl.ShedOverload || d.loadControl.MaxSlots == 0 {
+	if !d.mayShed() {
 		return false
 	}
 	targets := d.view.Targets(service)
@@ -49,7 +55,7 @@
 
 // offerDirectly offers a new flow of an overloaded service to the target with the shortest wait. It returns false if
 // the service is not known to be overloaded, or if the flow was offered to enough targets.
-func (d *Dispatcher) offerDirectly(key flow.Key, e *entry, cause Cause, p *flow.Packet, route *directory.Route, now time.Duration) (Decision, bool) {
+func (d *Dispatcher) offerDirectly(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) (Decision, bool) {
 	if e.direct.made >= maxDirectOffers || !d.isKnownOverloaded(e, route, now) {
 		return Decision{}, false
 	}
@@ -59,7 +65,7 @@
 	}
 	e.target, e.waiting = t, true
 	e.direct.made++
-	return d.offer(e, true, cause, p, now), true
+	return d.offer(e, true, CauseWait, p, now), true
 }
 
 // recordOverload records that the target on the VM refused a new flow because of overload. Only the refusal of a first
@@ -82,7 +88,7 @@
 func (d *Dispatcher) handleDirectRefusal(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
 	e.addTried()
 	e.target, e.waiting = nil, false
-	if next, ok := d.offerDirectly(key, e, CauseNextTarget, p, route, now); ok {
+	if next, ok := d.offerDirectly(key, e, p, route, now); ok {
 		return next
 	}
 	if !d.isKnownOverloaded(e, route, now) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -63,7 +63,7 @@
 // offerNext offers a new flow to the best target that it was not offered to yet. If there is none, the least busy
 // target may queue the flow.
 func (d *Dispatcher) offerNext(key flow.Key, e *entry, cause Cause, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
-	if direct, ok := d.offerDirectly(key, e, cause, p, route, now); ok {
+	if direct, ok := d.offerDirectly(key, e, p, route, now); ok {
 		return direct
 	}
 	var t *directory.Target
--- a/forward/balancer.go
+++ b/forward/balancer.go
@@ -64,6 +64,7 @@
 	searchRetryLimiter *rate.Limiter
 
 	isolated  atomic.Bool // no agent is reachable
+	overload  overloadWatch
 	closeOnce sync.Once
 	closed    chan struct{}
 
@@ -94,6 +95,7 @@
 		closed:             make(chan struct{}),
 	}
 	b.dispatcher.SetLoadControl(c.LoadControl)
+	b.overload.sampler = logsink.NewSampler(overloadLinesPerSecond)
 	b.retryOutboxes = b.newOutboxes()
 	return b, nil
 }
--- a/forward/balancer_decision.go
+++ b/forward/balancer_decision.go
@@ -23,6 +23,9 @@
 		}
 	}
 	decisions[d.Cause].Inc()
+	if d.Shed {
+		countShed(d.Header.Priority)
+	}
 	if d.Cause == dispatch.CauseUnknownFlow {
 		searchesNotFound.Update(d.SearchTime.Seconds())
 	}
@@ -58,7 +61,13 @@
 	view := b.dispatcher.View()
 	viewConfirmedAt := b.dispatcher.ConfirmedAt()
 	b.mu.Unlock()
-	b.config.Log.Info("flow_decision", "flow", key.String(), "cause", string(d.Cause), "outcome", d.Outcome.String(),
-		"target", target, "service", d.Service, "copy", p.Retransmission, "attempt", d.Header.Attempt,
-		"paths", len(d.Paths), "revision", view.Revision, "view_age", b.clock.now()-viewConfirmedAt, "skipped", skipped)
+	fields := []any{
+		"flow", key.String(), "cause", string(d.Cause), "outcome", d.Outcome.String(), "target", target, "service", d.Service,
+		"copy", p.Retransmission, "attempt", d.Header.Attempt, "paths", len(d.Paths), "revision", view.Revision,
+		"view_age", b.clock.now() - viewConfirmedAt, "skipped", skipped,
+	}
+	if d.Shed {
+		fields = append(fields, "shed", true, "priority", d.Header.Priority)
+	}
+	b.config.Log.Info("flow_decision", fields...)
 }
--- a/forward/balancer_status.go
+++ b/forward/balancer_status.go
@@ -1,8 +1,12 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/packetstatus"
+	"github.com/cowslipward/cowslipward/placement"
 )
 
 // Status returns the state of the balancer for operators, based on this balancer's own data.
@@ -22,6 +26,15 @@
 	if view.Config != nil {
 		status.Version = view.Config.Version
 	}
+	overloaded := b.dispatcher.AppendOverloaded(nil, now)
+	slices.SortFunc(overloaded, func(a, b placement.Overload) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority))
+	})
+	for _, o := range overloaded {
+		status.Overloaded = append(status.Overloaded, packetstatus.Overload{
+			Service: o.Service, Priority: int(o.Priority), Said: o.Said, Eligible: o.Eligible, ForMS: (now - o.Since).Milliseconds(),
+		})
+	}
 	for _, r := range view.Refused {
 		status.Refused = append(status.Refused, packetstatus.Refused{
 			Kind: r.Kind.String(), Name: r.Name, Revision: r.Revision, Reason: string(r.Refusal.Reason), Detail: r.Refusal.Detail,
--- a/internal/ctl/packets.go
+++ b/internal/ctl/packets.go
@@ -97,14 +97,24 @@
 }
 
 func printBalancers(w io.Writer, balancers []packetstatus.Balancer) {
-	fmt.Fprintln(w, "BALANCER\tDOMAIN\tREADY\tVERSION\tREVISION\tVIEW AGE\tREADS\tPEERS\tFLOWS\tTARGETS\tREFUSED\tOUT")
+	fmt.Fprintln(w, "BALANCER\tDOMAIN\tREADY\tVERSION\tREVISION\tVIEW AGE\tREADS\tPEERS\tFLOWS\tTARGETS\tREFUSED\tOUT\tOVERLOADED")
 	for _, b := range balancers {
 		age := time.Duration(b.ViewAgeMS) * time.Millisecond
-		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%s\t%t\t%d\t%d\t%d\t%d\t%s\n", b.VM, b.Domain, b.Ready, b.Version, b.Revision, age,
-			b.Reading, b.Peers, b.Flows, len(b.Targets), len(b.Refused), strings.Join(b.OutDomains, ","))
+		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%s\t%t\t%d\t%d\t%d\t%d\t%s\t%s\n", b.VM, b.Domain, b.Ready, b.Version, b.Revision, age,
+			b.Reading, b.Peers, b.Flows, len(b.Targets), len(b.Refused), strings.Join(b.OutDomains, ","), overloadedServices(&b))
 	}
 }
 
+// overloadedServices lists the services of which a balancer refuses flows, each with the share of targets that said that
+// they are overloaded.
+func overloadedServices(b *packetstatus.Balancer) string {
+	var list []string
+	for _, o := range b.Overloaded {
+		list = append(list, fmt.Sprintf("%s/%d:%d/%d", o.Service, o.Priority, o.Said, o.Eligible))
+	}
+	return strings.Join(list, ",")
+}
+
 // printRefused prints the entries that balancers do not use. Their names come from other writers and are quoted.
 func printRefused(w io.Writer, balancers []packetstatus.Balancer) {
 	fmt.Fprintln(w, "BALANCER\tKIND\tNAME\tREVISION\tREASON\tDETAIL")
--- a/packetstatus/packetstatus.go
+++ b/packetstatus/packetstatus.go
@@ -27,6 +27,17 @@
 	OutDomains []string  `json:"out"`   // failure domains out of service
 	Targets    []Target  `json:"targets"`
 	Refused    []Refused `json:"refused"` // entries of the store that are not used
+	// Overloaded lists the services of which this balancer refuses new flows at once, if load control is on.
+	Overloaded []Overload `json:"overloaded,omitempty"`
+}
+
+// Overload is a service that is overloaded, as far as a balancer knows, for new flows of a priority.
+type Overload struct {
+	Service  string `json:"service"`
+	Priority int    `json:"priority"` // 0 is the highest
+	Said     int    `json:"said"`     // targets that said that they are overloaded
+	Eligible int    `json:"eligible"` // targets that may get new flows
+	ForMS    int64  `json:"for_ms"`   // how long the balancer has known it
 }
 
 // Refused is an entry of the store that is not used.
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -99,9 +99,10 @@
 // Overload is how far a service is overloaded for the flows of a class, as far as this process knows.
 type Overload struct {
 	Class
-	Said       int  // eligible targets that said recently that they are overloaded
-	Eligible   int  // targets that may get new flows
-	Overloaded bool // enough of them said so, and for long enough
+	Said       int           // eligible targets that said recently that they are overloaded
+	Eligible   int           // targets that may get new flows
+	Overloaded bool          // enough of them said so, and for long enough
+	Since      time.Duration // of Overloaded: when it was found
 }
 
 // OverloadTracker keeps what targets say about their overload, and the resulting state of services. All times are
@@ -234,7 +235,11 @@
 	}
 	// Agents refuse because of overload only after it lasted for the objective. Long waits have to last as long.
 	lasting := state.overloadedFrom != 0 && now-state.overloadedFrom > state.Objective
+	was := state.Overloaded
 	state.Overloaded = isMost(refused, state.Eligible) || lasting
+	if state.Overloaded && !was {
+		state.Since = now
+	}
 }
 
 func isMost(said, eligible int) bool {
