Learned capacity of targets: limit at the agent, speed at the balancer

Cause: with two slots a target, the requests in progress say little about its speed; targets of unequal speed, and those that slow down, got equal work. Change: agents learn the duration of each route's requests and the number of requests in progress that their target handles well, and report both. Balancers compare the durations with the median of the service and place new flows by slots (or limit) times speed. Off unless load_control selects the service.

--- /dev/null
+++ b/capacity/capacity.go
@@ -0,0 +1,70 @@
+// Package capacity learns how much work each target handles well. A Learner, at the agent of a target, learns how long
+// the target takes to answer the requests of each route and how many requests in progress it handles well. Speeds, at a
+// balancer, compares the targets of a service by what their agents report. The package does no network I/O, and its
+// types are not safe for concurrent use. All times are monotonic.
+package capacity
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/cowslipward/cowslipward/encap"
+	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/internal/hash64"
+)
+
+// RouteTag returns the byte by which reports identify the route to an address of a service. Routes with the same tag
+// are learned as one: their mix then affects the duration that is reported for both.
+func RouteTag(service flow.Endpoint) uint8 {
+	address := uint64(binary.BigEndian.Uint32(service.IP[:]))
+	return uint8(hash64.Mix(address<<16 | uint64(service.Port)))
+}
+
+// maxSampleGap is the time that at most elapses, for the weight of samples, between two of them. At fewer than 10
+// requests a second, the weight thus depends on the number of samples only, and each of them changes an average
+// slightly.
+const maxSampleGap = 100 * time.Millisecond
+
+// decayFactor returns the factor by which the weight of earlier samples decreases during the gap before a sample.
+func decayFactor(gap, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(min(max(gap, 0), maxSampleGap)) / float64(halfLife))
+}
+
+// clippedMean is an exponentially weighted mean of durations. A sample counts as at most maxDeviation times the mean,
+// so that a few very long requests do not make a target look slow. A mean of logarithms resists them better but takes
+// twice as long to follow a target that becomes slower.
+type clippedMean struct {
+	sum    float64 // of the weighted samples, in seconds
+	weight float64 // of all samples; 1 is a sample that has just arrived
+	at     time.Duration
+}
+
+const (
+	// maxDeviation limits a sample relative to the mean before it.
+	maxDeviation = 4
+	// minWeight is the weight of samples from which a mean is known: one very long request among the first then
+	// raises it by less than two thirds.
+	minWeight = 8
+)
+
+func (m *clippedMean) add(sample, halfLife, now time.Duration) {
+	seconds := sample.Seconds()
+	if m.weight > 0 {
+		seconds = min(seconds, maxDeviation*m.seconds())
+	}
+	factor := decayFactor(now-m.at, halfLife)
+	m.sum, m.weight, m.at = m.sum*factor+seconds, m.weight*factor+1, now
+}
+
+func (m *clippedMean) seconds() float64 { return m.sum / m.weight }
+
+// isReported reports whether enough samples were seen, the last of them lately.
+func (m *clippedMean) isReported(now time.Duration) bool {
+	return m.weight >= minWeight && now-m.at <= reportableFor
+}
+
+// code returns the duration code of the mean.
+func (m *clippedMean) code() uint8 {
+	return encap.DurationCode(time.Duration(m.seconds() * float64(time.Second)))
+}
--- /dev/null
+++ b/capacity/learner.go
@@ -0,0 +1,138 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/cowslipward/cowslipward/encap"
+)
+
+const (
+	// durationHalfLife is the time in which the samples of a duration lose half of their weight at 10 requests a second
+	// or more.
+	durationHalfLife = 2 * time.Second
+	// reportableFor is how long after its last sample the duration of a route is reported. Without requests the report
+	// has no duration, so that balancers try the target again.
+	reportableFor = 2 * time.Second
+)
+
+// routeTimes is what a learner knows about the requests of one route.
+type routeTimes struct {
+	mean  clippedMean
+	rates rates
+}
+
+// Learner learns the capacity of one target from the requests that its agent sees.
+type Learner struct {
+	routes     map[uint8]*routeTimes // by tag; at most one per value of the byte
+	lastTag    uint8                 // of the route that the last report was about
+	samples    int                   // up to minWeight
+	limit      int                   // 0: unknown; noLimit: not below the slots
+	inProgress int                   // requests in progress since changedAt
+	changedAt  time.Duration         // when inProgress was last recorded
+	progress   time.Duration         // integral of inProgress over time up to changedAt
+	sinceProbe int                   // requests since the last one above the limit
+}
+
+// NewLearner returns a learner that knows nothing.
+func NewLearner() *Learner { return &Learner{routes: make(map[uint8]*routeTimes)} }
+
+// Progress records the number of requests in progress from now on, and returns the time that all requests have spent at
+// the target so far. The difference of two results, divided by the time between them, is the mean number of requests
+// that were in progress.
+func (l *Learner) Progress(inProgress int, now time.Duration) time.Duration {
+	l.progress += time.Duration(l.inProgress) * max(0, now-l.changedAt)
+	l.inProgress, l.changedAt = inProgress, now
+	return l.progress
+}
+
+// Request is a request that the target has answered.
+type Request struct {
+	RouteTag   uint8
+	Duration   time.Duration // from the time it was sent to the target to the first byte of the response
+	InProgress float64       // mean number of requests in progress during it, itself included
+	Slots      int           // of the target
+}
+
+// Record learns from an answered request. Requests that failed, and those at a cold target, must not be passed to it.
+// It ignores a request during which more requests were in progress than the target has slots.
+func (l *Learner) Record(r *Request, now time.Duration) {
+	if r.Duration <= 0 || r.InProgress > float64(r.Slots)+slotTolerance {
+		return
+	}
+	route := l.routes[r.RouteTag]
+	if route == nil {
+		route = &routeTimes{}
+		l.routes[r.RouteTag] = route
+	}
+	route.mean.add(r.Duration, durationHalfLife, now)
+	route.rates.record(r.Duration, r.InProgress, &route.mean, now)
+	if l.samples < minSamples {
+		l.samples++
+		return
+	}
+	if l.limit == 0 {
+		l.limit = noLimit
+	}
+	l.updateLimit(r.Slots)
+}
+
+// minSamples is the number of requests from which the limit is known.
+const minSamples = 10
+
+// slotTolerance covers the rounding of the mean number of requests in progress.
+const slotTolerance = 0.01
+
+// Limit returns the number of requests in progress up to which one more raises the throughput of the target, at most
+// its slots. It returns 0 until enough samples were seen.
+func (l *Learner) Limit(slots int) int {
+	return min(slots, l.limit)
+}
+
+// probeInterval is the number of requests of which one may exceed the limit, to detect that the target handles more.
+const probeInterval = 20
+
+// Allowed returns the number of requests that may be in progress now.
+func (l *Learner) Allowed(slots int) int {
+	limit := l.Limit(slots)
+	switch {
+	case limit == 0:
+		return slots
+	case l.sinceProbe >= probeInterval:
+		return min(slots, limit+1)
+	default:
+		return limit
+	}
+}
+
+// RecordStart records that a request was sent to the target, and that inProgress requests are in progress with it.
+func (l *Learner) RecordStart(inProgress, slots int) {
+	l.sinceProbe++
+	if limit := l.Limit(slots); limit > 0 && inProgress > limit {
+		l.sinceProbe = 0
+	}
+}
+
+// Report returns the fields of the next report. Successive reports are about the routes in turn, in the order of their
+// tags, as far as these had requests lately.
+func (l *Learner) Report(slots int, now time.Duration) encap.Capacity {
+	c := encap.Capacity{Limit: encap.Clamp8(l.Limit(slots))}
+	for offset := 1; offset <= 256; offset++ {
+		tag := l.lastTag + uint8(offset)
+		if route := l.routes[tag]; route != nil && route.mean.isReported(now) {
+			l.lastTag, c.RouteTag, c.DurationCode = tag, tag, route.mean.code()
+			break
+		}
+	}
+	return c
+}
+
+// Duration returns the longest of the known mean durations of the routes that had requests lately, or 0.
+func (l *Learner) Duration(now time.Duration) time.Duration {
+	longest := uint8(0)
+	for _, route := range l.routes {
+		if route.mean.isReported(now) {
+			longest = max(longest, route.mean.code())
+		}
+	}
+	return encap.Duration(longest)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"github.com/cowslipward/cowslipward/capacity"
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/encap"
 	"github.com/cowslipward/cowslipward/flow"
@@ -57,6 +58,8 @@
 	viewComparison viewComparison
 	domainOutGrace time.Duration // how long open flows are kept in a failure domain that is out
 	loadControl    loadcontrol.Settings
+	speeds         *capacity.Speeds // nil: off
+	changes        capacityChanges
 }
 
 // KeepFlowsForever is the grace period of a dispatcher that keeps forwarding open flows to failure domains that
@@ -79,7 +82,10 @@
 }
 
 // SetLoadControl sets the load control. Without a call it is off.
-func (d *Dispatcher) SetLoadControl(s loadcontrol.Settings) { d.loadControl = s }
+func (d *Dispatcher) SetLoadControl(s loadcontrol.Settings) {
+	d.loadControl = s
+	d.resetCapacity()
+}
 
 // SetView replaces the view by one that the store confirmed at the steady time confirmedAt.
 func (d *Dispatcher) SetView(view *directory.View, confirmedAt, now time.Duration) {
@@ -92,6 +98,7 @@
 		d.table.SetIdleTimeout(view.Config.IdleTimeout)
 	}
 	d.loads.Prune(view)
+	d.pruneCapacity()
 	for domain := range d.domainOutSince {
 		if !view.IsDomainOut(domain) {
 			delete(d.domainOutSince, domain)
@@ -120,6 +127,7 @@
 	if d.view.TargetByIP(ip) != nil {
 		d.loads.RecordAgentContact(now)
 	}
+	d.learn(ip, h, now)
 }
 
 // Isolated reports whether the balancer cannot reach any target in the view and therefore cannot serve new flows.
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -30,7 +30,7 @@
 }
 
 func (d *Dispatcher) describeTarget(t *directory.Target, now time.Duration) packetstatus.Target {
-	return packetstatus.Target{
+	status := packetstatus.Target{
 		ID:       t.ID,
 		Service:  t.Service,
 		Address:  t.Address.String(),
@@ -41,6 +41,8 @@
 		Eligible: placement.Eligible(d.view, t),
 		Reason:   d.restriction(t, now),
 	}
+	d.describeCapacity(t, &status, now)
+	return status
 }
 
 // restriction describes why a target gets no new flows or fewer than others. It is empty if there is no restriction.
@@ -78,6 +80,7 @@
 	if e, ok := d.table.Get(key, now); ok && e.target != nil {
 		explanation.KnownTarget = e.target.ID
 	}
+	d.chooser.SetRoute(route)
 	if choice := d.chooser.Choose(d.view, service, key.Hash(), nil, now); choice != nil {
 		explanation.Choice = choice.ID
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -45,6 +45,7 @@
 // the route may have another service, and the target at which the flow is queued may be withdrawn. If such a target
 // accepts an earlier SYN all the same, a search finds the flow there.
 func (d *Dispatcher) updatePlacement(key flow.Key, e *entry, route *directory.Route) {
+	d.chooser.SetRoute(route)
 	if service := route.ChooseService(key.Hash()); service != e.service {
 		e.service, e.target, e.waiting, e.tried = service, nil, false, nil
 		return
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -67,6 +67,7 @@
 	queuedRequests map[flow.Key]*queuedRequest // requests that wait for a slot
 	searches       map[searchKey]pendingSearch
 	targetFailing  bool // balancers avoid the target because it fails too many requests
+	loggedLimit    int  // limit of the target that was last logged
 	probing        bool
 	lastProbe      time.Duration
 	timerArmed     bool // the timer that polls the queues is running
@@ -180,13 +181,17 @@
 }
 
 func (a *Agent) statusHeader(kind encap.Kind, now time.Duration) encap.Header {
-	return encap.Header{
+	h := encap.Header{
 		Kind:          kind,
 		Load:          encap.Clamp8(a.gate.Load()),
 		Waiting:       encap.Clamp8(a.gate.Waiting()),
 		FailedPercent: encap.Percent(a.gate.FailureRatio(now)),
 		Silent:        a.gate.Silent(now),
 	}
+	if kind == encap.KindReport {
+		h.Capacity = a.gate.Capacity(now)
+	}
+	return h
 }
 
 // returnPacket returns a packet to its balancer with the reason why the target does not take it.
--- a/forward/agent_balancers.go
+++ b/forward/agent_balancers.go
@@ -73,6 +73,7 @@
 		a.probeIfSuspect(now)
 		a.countLostRequests()
 		a.updateTargetFailing(now)
+		a.logLimit(now)
 		h := a.statusHeader(encap.KindReport, now)
 		for _, address := range reportRecipients(a.balancers, round, now) {
 			out.balancers.sendEncapsulated(address, &h, nil)
--- a/forward/agent_outcomes.go
+++ b/forward/agent_outcomes.go
@@ -60,7 +60,9 @@
 		Failing: int(encap.Percent(a.gate.FailureRatio(now))),
 		Silent:  a.gate.Silent(now),
 		Down:    a.gate.Down(),
+		Limit:   a.gate.Limit(),
 	}
+	status.DurationMS = float64(a.gate.MeanDuration(now)) / float64(time.Millisecond)
 	for _, f := range a.gate.Flows(packetstatus.MaxFlows, now) {
 		status.Flows = append(status.Flows, packetstatus.Flow{Flow: f.Key.String(), State: f.Phase.String(), AgeMS: f.Age.Milliseconds()})
 	}
--- a/forward/balancer_reachability.go
+++ b/forward/balancer_reachability.go
@@ -35,6 +35,7 @@
 			return
 		case <-ticker.C:
 		}
+		b.logCapacityChanges()
 		if b.updateIsolated() {
 			b.probeAgents(&probes)
 		}
--- a/internal/ctl/packets.go
+++ b/internal/ctl/packets.go
@@ -116,7 +116,7 @@
 }
 
 func printPacketTargets(w io.Writer, balancers []packetstatus.Balancer) {
-	fmt.Fprintln(w, "BALANCER\tTARGET\tSERVICE\tDOMAIN\tSTATE\tSLOTS\tWORK\tNEW FLOWS\tREASON")
+	fmt.Fprintln(w, "BALANCER\tTARGET\tSERVICE\tDOMAIN\tSTATE\tSLOTS\tWORK\tSPEED\tLIMIT\tDURATION\tNEW FLOWS\tREASON")
 	for _, b := range balancers {
 		for _, t := range b.Targets {
 			fmt.Fprintf(w, "%s\t%s\n", b.VM, targetRow(&t))
@@ -125,7 +125,24 @@
 }
 
 func targetRow(t *packetstatus.Target) string {
-	return fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%.2f\t%t\t%s", t.ID, t.Service, t.Domain, t.State, t.Slots, t.Work, t.Eligible, t.Reason)
+	return fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%.2f\t%s\t%t\t%s", t.ID, t.Service, t.Domain, t.State, t.Slots, t.Work,
+		capacityColumns(t), t.Eligible, t.Reason)
+}
+
+// capacityColumns returns the columns for the learned speed, limit and duration of a target, with a dash for each that is
+// unknown.
+func capacityColumns(t *packetstatus.Target) string {
+	columns := []string{"-", "-", "-"}
+	if t.Speed > 0 {
+		columns[0] = fmt.Sprintf("%.2f", t.Speed)
+	}
+	if t.Limit > 0 {
+		columns[1] = fmt.Sprint(t.Limit)
+	}
+	if t.DurationMS > 0 {
+		columns[2] = fmt.Sprintf("%.1fms", t.DurationMS)
+	}
+	return strings.Join(columns, "\t")
 }
 
 func newPacketsExplain() *cobra.Command {
@@ -158,7 +175,7 @@
 	fmt.Fprintf(w, "route %s, service %s\n", e.Route, e.Service)
 	fmt.Fprintf(w, "known target of the flow: %s\n", orNone(e.KnownTarget))
 	fmt.Fprintf(w, "first offer of a new flow: %s\n\n", orNone(e.Choice))
-	fmt.Fprintln(w, "TARGET\tSERVICE\tDOMAIN\tSTATE\tSLOTS\tWORK\tNEW FLOWS\tREASON")
+	fmt.Fprintln(w, "TARGET\tSERVICE\tDOMAIN\tSTATE\tSLOTS\tWORK\tSPEED\tLIMIT\tDURATION\tNEW FLOWS\tREASON")
 	for _, t := range e.Candidates {
 		fmt.Fprintln(w, targetRow(&t))
 	}
--- a/packetstatus/packetstatus.go
+++ b/packetstatus/packetstatus.go
@@ -49,6 +49,11 @@
 	Work     float64 `json:"work"`     // estimated share of the slots in use; above 1 with penalties, such as for a silent target
 	Eligible bool    `json:"eligible"` // the target may get new flows
 	Reason   string  `json:"reason"`   // why it gets no new flows or fewer than others, or empty
+
+	// Learned capacity; zero if it is not learned.
+	Speed      float64 `json:"speed,omitempty"`       // relative to the median of its service
+	Limit      int     `json:"limit,omitempty"`       // requests in progress that it handles well, at most its slots
+	DurationMS float64 `json:"duration_ms,omitempty"` // longest of the mean times in which it answers the requests of a route
 }
 
 // Explanation describes which targets a balancer would choose for a flow, and in which order.
@@ -72,6 +77,10 @@
 	Silent  bool   `json:"silent"`  // the target leaves packets unanswered
 	Down    bool   `json:"down"`    // a probe showed that the target does not run
 	Flows   []Flow `json:"flows"`   // at most MaxFlows
+
+	// Learned capacity; zero if it is not learned or too little is known.
+	Limit      int     `json:"limit,omitempty"`       // requests in progress that the target handles well
+	DurationMS float64 `json:"duration_ms,omitempty"` // longest of the mean times in which it answers the requests of a route
 }
 
 // MaxFlows bounds the flows that an agent reports.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/cowslipward/cowslipward/capacity"
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/encap"
 	"github.com/cowslipward/cowslipward/internal/decay"
@@ -48,12 +49,13 @@
 	recentSent      float64 // new flows sent recently by this process, decayed as of recentSentAt
 	recentSentAt    time.Duration
 	reportedAt      time.Duration
-	targetSilent    bool          // the agent reported that the target does not answer
-	noSlotsAt       time.Duration // time of the last refusal for lack of slots; 0: never
-	refusedAt       time.Duration // time of the last refusal for another reason; 0: never
-	failureRate     decay.Value   // fraction of recent requests that failed
-	sentAt          time.Duration // time of the last packet sent to the VM
-	unansweredSince time.Duration // time of the first packet sent since the last report; 0: none
+	targetSilent    bool             // the agent reported that the target does not answer
+	noSlotsAt       time.Duration    // time of the last refusal for lack of slots; 0: never
+	refusedAt       time.Duration    // time of the last refusal for another reason; 0: never
+	failureRate     decay.Value      // fraction of recent requests that failed
+	sentAt          time.Duration    // time of the last packet sent to the VM
+	unansweredSince time.Duration    // time of the first packet sent since the last report; 0: none
+	learned         *capacity.Target // nil: flows are placed by the slots alone
 }
 
 // LoadTracker estimates the load of targets from the reports of their agents and from the flows that this process
@@ -178,12 +180,17 @@
 	if entry == nil {
 		return availabilityPenalty(t, false)
 	}
-	work := entry.meanInProgress + entry.decayedRecentFlows(now) + float64(entry.waiting)
-	cost := work/float64(t.Slots) + availabilityPenalty(t, entry.isUnresponsive(now))
-	if entry.recentlyRefused(now) {
+	return entry.cost(t, float64(t.Slots), now)
+}
+
+// cost returns the estimated load of the target as a fraction of the slots, plus penalties.
+func (l *load) cost(t *directory.Target, slots float64, now time.Duration) float64 {
+	work := l.meanInProgress + l.decayedRecentFlows(now) + float64(l.waiting)
+	cost := work/slots + availabilityPenalty(t, l.isUnresponsive(now))
+	if l.recentlyRefused(now) {
 		cost += refusalPenalty
 	}
-	if rate := entry.decayedFailureRate(now); rate >= FailureRateThreshold {
+	if rate := l.decayedFailureRate(now); rate >= FailureRateThreshold {
 		cost += failureRatePenalty * rate
 	}
 	return cost
@@ -220,6 +227,7 @@
 	LocalDomain string // failure domain of the process
 	Loads       *LoadTracker
 	ranker      Ranker
+	route       routeOfFlow
 }
 
 // Choose returns the target to which a new flow is offered next: the one with the lowest cost among the first few
@@ -234,21 +242,21 @@
 }
 
 // pick returns the target with the lowest cost among the first few candidates, or nil if there is none. It goes on to
-// further candidates while the lowest cost is 1 or more.
+// further candidates while the load of that target is 1 or more: all its slots are in use, or it has penalties.
 func (c *Chooser) pick(view *directory.View, order []*directory.Target, tried []uint64, now time.Duration) *directory.Target {
 	var best *directory.Target
-	var lowest float64
+	var lowest, lowestLoad float64
 	considered := 0
 	for _, t := range order {
 		if !Eligible(view, t) || isTried(tried, t) || c.Loads.inBackoff(t.Address.IP, now) {
 			continue
 		}
-		cost := c.cost(t, now)
+		cost, load := c.cost(t, now)
 		if best == nil || cost < lowest {
-			best, lowest = t, cost
+			best, lowest, lowestLoad = t, cost, load
 		}
 		considered++
-		if considered >= localCandidates+remoteCandidates && lowest < 1 {
+		if considered >= localCandidates+remoteCandidates && lowestLoad < 1 {
 			break
 		}
 	}
@@ -273,19 +281,21 @@
 		if !Eligible(view, t) || !include(t) {
 			continue
 		}
-		if cost := c.cost(t, now); best == nil || cost < lowest {
+		if cost, _ := c.cost(t, now); best == nil || cost < lowest {
 			best, lowest = t, cost
 		}
 	}
 	return best
 }
 
-func (c *Chooser) cost(t *directory.Target, now time.Duration) float64 {
-	cost := c.Loads.Cost(t, now)
+// cost returns the cost of a target for a flow of the route that was set, and its load with the same penalties.
+func (c *Chooser) cost(t *directory.Target, now time.Duration) (cost, load float64) {
+	cost, load = c.Loads.routeCost(t, c.route, now)
 	if t.Domain != c.LocalDomain {
 		cost += remotePenalty
+		load += remotePenalty
 	}
-	return cost
+	return cost, load
 }
 
 // SearchOrder appends all targets of the services to dst, in the order in which they are searched for an open flow.
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -120,6 +120,7 @@
 	callerEnd      uint32        // sequence number after the caller's last new byte
 	callerEndSet   bool
 	response       response
+	sample         requestSample // of the request in progress, for the learned capacity
 	searcher       flow.Endpoint // balancer that searches for the flow and is to be notified if the target owns it
 }
 
@@ -145,6 +146,7 @@
 	backoffUntil     time.Duration   // when the present pause ends
 	restartedAt      time.Duration   // when the last restart of the target was detected
 	failures         failureRatio
+	limit            capacityLimit
 	stuckRequests    int // requests in progress without a response for stuckTimeout
 	lostRequests     int // requests that ended without a response since the last call of TakeLost
 }
--- a/targetgate/offer.go
+++ b/targetgate/offer.go
@@ -12,6 +12,7 @@
 func (g *Gate) Offer(o *Offer, now time.Duration) (Verdict, encap.Reason) {
 	g.slots = max(1, o.Slots)
 	g.updateRoute(o)
+	g.updateLimit(o, now)
 	g.Expire(now)
 	if s, found := g.flows.Get(o.Key, now); found && s.phase != requestNone {
 		return Accept, encap.ReasonNone // a retransmission of a SYN that the target already has
@@ -81,7 +82,7 @@
 }
 
 // maxLoad returns the load at which the target gets no more new flows.
-func (g *Gate) maxLoad() int { return g.slots + extraFlows + g.slots/slotsPerExtraFlow }
+func (g *Gate) maxLoad() int { return g.concurrency() + extraFlows + g.slots/slotsPerExtraFlow }
 
 // belowColdRate reports whether the target may get one more flow at a rate in flows per second. It counts the
 // flows accepted in the second before the last call of Expire. A rate of 0 is no limit.
@@ -104,7 +105,7 @@
 // queueDelay estimates how long the target takes to serve a number of queued requests and its load above maxLoad.
 func (g *Gate) queueDelay(requests int) time.Duration {
 	requests += max(0, g.Load()-g.maxLoad())
-	return time.Duration(requests) * g.serviceTime / time.Duration(g.slots)
+	return time.Duration(requests) * g.serviceTime / time.Duration(g.concurrency())
 }
 
 // accept records that the target gets a new flow whose first SYN was sent at the monotonic time sent.
--- a/targetgate/requests.go
+++ b/targetgate/requests.go
@@ -74,6 +74,7 @@
 		return ActionHold
 	case requestInProgress:
 		s.since = now
+		g.sampleMore(s, now)
 		return ActionForward
 	}
 	next := g.requestWaiter(key, s, p.Budget, now)
@@ -93,12 +94,13 @@
 }
 
 // hasFreeSlot reports whether the target has a free slot. Stuck requests occupy none.
-func (g *Gate) hasFreeSlot() bool { return len(g.inProgress)-g.stuckRequests < g.slots }
+func (g *Gate) hasFreeSlot() bool { return len(g.inProgress)-g.stuckRequests < g.concurrency() }
 
 func (g *Gate) startRequest(key flow.Key, s *flowState, now time.Duration) {
 	s.phase, s.since = requestInProgress, now
 	s.response.reset()
 	g.inProgress[key] = s
+	g.sampleStart(s, now)
 	if g.responseDueSince == 0 {
 		g.responseDueSince = now
 	}
--- a/targetgate/responses.go
+++ b/targetgate/responses.go
@@ -85,6 +85,7 @@
 	}
 	if s.response.isStart(p) {
 		duration, s.response.firstPending = s.response.duration, false
+		g.sampleResponse(key, s, isFailure(p), now)
 		g.recordOutcome(s, isFailure(p), now)
 	}
 	s.response.advance(p.Seq + uint32(p.DataLen))
