--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -21,6 +21,10 @@
 	return uint8(hash64.Mix(address<<16 | uint64(service.Port)))
 }
 
+// Unknown is the report of an agent that has not learned anything yet, such as one that has restarted. It is not the
+// zero value, which tells nothing, so that balancers discard what its predecessor reported.
+var Unknown = encap.Capacity{RouteTag: 1}
+
 // maxSampleGap is the time that at most elapses, for the weight of samples, between two of them. At fewer than 10
 // requests a second, the weight thus depends on the number of samples only, and each of them changes an average
 // slightly.
--- a/capacity/learner.go
+++ b/capacity/learner.go
@@ -10,21 +10,29 @@
 	// durationHalfLife is the time in which the samples of a duration lose half of their weight at 10 requests a second
 	// or more.
 	durationHalfLife = 2 * time.Second
-	// reportableFor is how long after its last sample the duration of a route is reported. Without requests the report
-	// has no duration, so that balancers try the target again.
+	// reportableFor is how long after its last sample the duration of a route is reported. Without requests no duration
+	// is reported, so that balancers try the target again.
 	reportableFor = 2 * time.Second
+	// refreshInterval is the time between two reports with capacity while little changes. It keeps the bytes of reports,
+	// of which there is one each 200 ms, from growing by more than a tenth.
+	refreshInterval = 2500 * time.Millisecond
+	// urgentChange is the change of a duration code, by a fifth, that is reported at once.
+	urgentChange = 4
 )
 
 // routeTimes is what a learner knows about the requests of one route.
 type routeTimes struct {
-	mean  clippedMean
-	rates rates
+	mean     clippedMean
+	rates    rates
+	reported uint8 // duration code that was last reported
 }
 
 // Learner learns the capacity of one target from the requests that its agent sees.
 type Learner struct {
 	routes     map[uint8]*routeTimes // by tag; at most one per value of the byte
 	lastTag    uint8                 // of the route that the last report was about
+	lastLimit  int                   // in the last report with capacity
+	reportedAt time.Duration         // of the last report with capacity
 	samples    int                   // up to minWeight
 	limit      int                   // 0: unknown; noLimit: not below the slots
 	inProgress int                   // requests in progress since changedAt
@@ -112,20 +120,51 @@
 	}
 }
 
-// Report returns the fields of the next report. Successive reports are about the routes in turn, in the order of their
-// tags, as far as these had requests lately.
+// Report returns the fields of the next report, or zero if nothing has to be reported yet. Successive reports are about
+// the routes in turn, in the order of their tags, as far as these had requests lately. A route whose duration changed
+// much comes first.
 func (l *Learner) Report(slots int, now time.Duration) encap.Capacity {
-	c := encap.Capacity{Limit: encap.Clamp8(l.Limit(slots))}
-	for offset := 1; offset <= 256; offset++ {
-		tag := l.lastTag + uint8(offset)
-		if route := l.routes[tag]; route != nil && route.mean.isReported(now) {
-			l.lastTag, c.RouteTag, c.DurationCode = tag, tag, route.mean.code()
-			break
-		}
+	limit := l.Limit(slots)
+	tag, urgent := l.nextRoute(now)
+	if !urgent && limit == l.lastLimit && l.reportedAt != 0 && now-l.reportedAt < refreshInterval {
+		return encap.Capacity{}
+	}
+	l.reportedAt, l.lastLimit = now, limit
+	if limit == 0 {
+		return Unknown
+	}
+	c := encap.Capacity{Limit: encap.Clamp8(limit)}
+	if route := l.routes[tag]; route != nil && route.mean.isReported(now) {
+		route.reported = route.mean.code()
+		l.lastTag, c.RouteTag, c.DurationCode = tag, tag, route.reported
 	}
 	return c
 }
 
+// nextRoute returns the tag of the route to report next, and whether its duration changed so much that it is reported at
+// once. If no route had requests lately, it returns that of the last one.
+func (l *Learner) nextRoute(now time.Duration) (tag uint8, urgent bool) {
+	tag = l.lastTag
+	largest := 0
+	for offset := 256; offset >= 1; offset-- {
+		next := l.lastTag + uint8(offset)
+		route := l.routes[next]
+		if route == nil || !route.mean.isReported(now) {
+			continue
+		}
+		change := abs(int(route.mean.code()) - int(route.reported))
+		if change < urgentChange {
+			change = 0
+		}
+		if change >= largest {
+			tag, largest = next, change
+		}
+	}
+	return tag, largest > 0
+}
+
+func abs(n int) int { return max(n, -n) }
+
 // Duration returns the longest of the known mean durations of the routes that had requests lately, or 0.
 func (l *Learner) Duration(now time.Duration) time.Duration {
 	longest := uint8(0)
--- a/capacity/speeds.go
+++ b/capacity/speeds.go
@@ -11,9 +11,9 @@
 const (
 	// medianInterval is the minimum time between two computations of the medians of a service.
 	medianInterval = 200 * time.Millisecond
-	// fullTrust is how long the duration of a route counts fully: at least one report in two of an agent that reports
-	// every 400 ms about two routes in turn.
-	fullTrust = time.Second
+	// fullTrust is how long the duration of a route counts fully. An agent whose target has two routes reports each of
+	// them once in two refreshIntervals.
+	fullTrust = 5500 * time.Millisecond
 	// maxAge is the age of a report from which it does not count any more.
 	maxAge = 10 * time.Second
 	// minTargets is the number of targets that must have reported a route for their durations to be compared.
@@ -28,7 +28,8 @@
 type Target struct {
 	service *serviceSpeeds
 	routes  []routeReport
-	limit   int
+	limit   int           // 0: unknown
+	limitAt time.Duration // of the last report with a limit
 	speed   float64
 	at      time.Duration // of the last report with a duration
 	slow    bool          // a change of the speed below slowBelow was reported
@@ -59,8 +60,8 @@
 }
 
 // Limit returns the number of requests in progress that the target handles well, at most its slots.
-func (t *Target) Limit(slots int) int {
-	if t.limit == 0 {
+func (t *Target) Limit(slots int, now time.Duration) int {
+	if t.limit == 0 || now-t.limitAt > maxAge {
 		return slots
 	}
 	return min(t.limit, slots)
@@ -114,30 +115,27 @@
 }
 
 // Record stores a report about the target of a service with the number of slots, and returns the target and what
-// changed. A report without limit and durations is one of an agent that knows nothing, such as one that has restarted:
-// it discards what is known.
+// changed. The report must not be zero.
 func (s *Speeds) Record(ip [4]byte, service string, slots int, c encap.Capacity, now time.Duration) (*Target, Change) {
 	t := s.target(ip, service)
-	var change Change
-	limit := int(c.Limit)
-	if limit > slots {
-		change.Implausible, limit = true, slots
+	change := Change{LimitFrom: t.Limit(slots, now)}
+	if c.Limit == 0 && c.DurationCode == 0 {
+		t.routes, t.speed, t.limit = t.routes[:0], 1, 0
 	}
-	if encap.Duration(c.DurationCode) > longestDuration {
-		change.Implausible, c.DurationCode = true, 0
+	if c.Limit > 0 {
+		change.Implausible = int(c.Limit) > slots
+		t.limit, t.limitAt = min(int(c.Limit), slots), now
 	}
-	change.LimitFrom = t.Limit(slots)
-	t.limit = limit
-	change.LimitTo = t.Limit(slots)
-	switch {
-	case c.DurationCode > 0:
+	switch duration := encap.Duration(c.DurationCode); {
+	case duration > longestDuration:
+		change.Implausible = true
+	case duration > 0:
 		t.store(c.RouteTag, c.DurationCode, now)
 		t.at = now
 		s.updateMedians(t.service, now)
 		t.speed = s.speed(t, now)
-	case limit == 0 && !change.Implausible:
-		t.routes, t.speed = t.routes[:0], 1
 	}
+	change.LimitTo = t.Limit(slots, now)
 	change.speedChanged(t, now)
 	return t, change
 }
--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -48,6 +48,9 @@
 		d.forgetCapacity(ip)
 		return
 	}
+	if h.Capacity.Limit == 0 && h.Capacity.RouteTag == 0 && h.Capacity.DurationCode == 0 {
+		return
+	}
 	learned, change := d.speeds.Record(ip, t.Service, t.Slots, h.Capacity, now)
 	d.loads.SetLearned(ip, learned)
 	if change.Implausible {
@@ -102,6 +105,6 @@
 		return
 	}
 	status.Speed = learned.Speed(now)
-	status.Limit = learned.Limit(t.Slots)
+	status.Limit = learned.Limit(t.Slots, now)
 	status.DurationMS = float64(learned.LongestDuration(now)) / float64(time.Millisecond)
 }
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -66,8 +66,9 @@
 	queuedSYNs     map[flow.Key]queuedSYN      // SYNs of new flows that wait for a slot
 	queuedRequests map[flow.Key]*queuedRequest // requests that wait for a slot
 	searches       map[searchKey]pendingSearch
-	targetFailing  bool // balancers avoid the target because it fails too many requests
-	loggedLimit    int  // limit of the target that was last logged
+	targetFailing  bool           // balancers avoid the target because it fails too many requests
+	loggedLimit    int            // limit of the target that was last logged
+	repeated       encap.Capacity // to be repeated in the next report
 	probing        bool
 	lastProbe      time.Duration
 	timerArmed     bool // the timer that polls the queues is running
@@ -189,7 +190,7 @@
 		Silent:        a.gate.Silent(now),
 	}
 	if kind == encap.KindReport {
-		h.Capacity = a.gate.Capacity(now)
+		h.Capacity = a.nextCapacity(now)
 	}
 	return h
 }
--- a/forward/agent_limit.go
+++ b/forward/agent_limit.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cowslipward/cowslipward/encap"
 )
 
 // Gauges of the learned capacity of the target; 0 if it is unknown or not learned.
@@ -27,3 +29,17 @@
 	}
 	a.loggedLimit = limit
 }
+
+// nextCapacity returns the learned capacity for the next report. If balancers get every second report, each capacity is
+// in two of them.
+func (a *Agent) nextCapacity(now time.Duration) encap.Capacity {
+	c := a.gate.Capacity(now)
+	if c == (encap.Capacity{}) {
+		c, a.repeated = a.repeated, encap.Capacity{}
+		return c
+	}
+	if len(a.balancers) > alternateReportsAbove {
+		a.repeated = c
+	}
+	return c
+}
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -61,7 +61,7 @@
 		return cost, cost
 	}
 	speed := entry.learned.Speed(now)
-	slots := float64(entry.learned.Limit(t.Slots))
+	slots := float64(entry.learned.Limit(t.Slots, now))
 	load = entry.cost(t, slots, now)
 	if speed == 1 {
 		return load, load
