--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"github.com/cowslipward/cowslipward/capacity"
 	"github.com/cowslipward/cowslipward/directory"
 	"github.com/cowslipward/cowslipward/encap"
 	"github.com/cowslipward/cowslipward/flow"
@@ -59,6 +60,8 @@
 	viewComparison viewComparison
 	domainOutGrace time.Duration // how long open flows are kept in a failure domain that is out
 	loadControl    loadcontrol.Settings
+	speeds         *capacity.Speeds // nil: off
+	changes        capacityChanges
 }
 
 // KeepFlowsForever is the grace period of a dispatcher that keeps forwarding open flows to failure domains that
@@ -82,7 +85,10 @@
 }
 
 // SetLoadControl sets the load control. Without a call it is off.
-func (d *Dispatcher) SetLoadControl(s loadcontrol.Settings) { d.loadControl = s }
+func (d *Dispatcher) SetLoadControl(s loadcontrol.Settings) {
+	d.loadControl = s
+	d.resetCapacity()
+}
 
 // SetView replaces the view by one that the store confirmed at the steady time confirmedAt.
 func (d *Dispatcher) SetView(view *directory.View, confirmedAt, now time.Duration) {
@@ -96,6 +102,7 @@
 	}
 	d.loads.Prune(view)
 	d.overload.SetView(view, now)
+	d.pruneCapacity()
 	for domain := range d.domainOutSince {
 		if !view.IsDomainOut(domain) {
 			delete(d.domainOutSince, domain)
@@ -125,6 +132,7 @@
 	if d.view.TargetByIP(ip) != nil {
 		d.loads.RecordAgentContact(now)
 	}
+	d.learn(ip, h, now)
 }
 
 // Isolated reports whether the balancer cannot reach any target in the view and therefore cannot serve new flows.
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -67,7 +67,9 @@
 	queuedRequests map[flow.Key]*queuedRequest // requests that wait for a slot
 	searches       map[searchKey]pendingSearch
 	overload       overloadStatus
-	targetFailing  bool // balancers avoid the target because it fails too many requests
+	targetFailing  bool           // balancers avoid the target because it fails too many requests
+	loggedLimit    int            // limit of the target that was last logged
+	repeated       encap.Capacity // to be repeated in the next report
 	probing        bool
 	lastProbe      time.Duration
 	timerArmed     bool // the timer that polls the queues is running
@@ -188,8 +190,11 @@
 		FailedPercent: encap.Percent(a.gate.FailureRatio(now)),
 		Silent:        a.gate.Silent(now),
 	}
-	if kind == encap.KindReport && a.gate.Sheds() {
-		h.Capacity.WaitCode = encap.WaitCode(a.gate.ReportedWait(now))
+	if kind == encap.KindReport {
+		h.Capacity = a.nextCapacity(now)
+		if a.gate.Sheds() {
+			h.Capacity.WaitCode = encap.WaitCode(a.gate.ReportedWait(now))
+		}
 	}
 	return h
 }
--- a/forward/agent_metrics.go
+++ b/forward/agent_metrics.go
@@ -25,13 +25,13 @@
 		encap.ReasonSilent:     metrics.NewCounter(`cowslip_refused_flows_total{reason="silent"}`),
 		encap.ReasonOverloaded: metrics.NewCounter(`cowslip_refused_flows_total{reason="overloaded"}`),
 	}
-	shedFlows       = newShedCounters()
-	overloadSeconds = metrics.NewFloatCounter("cowslip_overload_seconds_total")
-	startedRequests = metrics.NewCounter("cowslip_started_requests_total")
-	startedRetries  = metrics.NewCounter("cowslip_started_retries_total")
-	lostRequests    = metrics.NewCounter("cowslip_lost_requests_total")
-	returnedPackets = newReturnCounters()
-	responses       = newResponseCounters()
+	shedFlows             = newShedCounters()
+	targetOverloadSeconds = metrics.NewFloatCounter("cowslip_overload_seconds_total")
+	startedRequests       = metrics.NewCounter("cowslip_started_requests_total")
+	startedRetries        = metrics.NewCounter("cowslip_started_retries_total")
+	lostRequests          = metrics.NewCounter("cowslip_lost_requests_total")
+	returnedPackets       = newReturnCounters()
+	responses             = newResponseCounters()
 )
 
 // statusClasses is the number of possible first digits of a three-digit status.
--- a/forward/agent_overload.go
+++ b/forward/agent_overload.go
@@ -32,7 +32,7 @@
 	startedRetries.Add(retries)
 	o := &a.overload
 	if o.active {
-		overloadSeconds.Add((now - o.checked).Seconds())
+		targetOverloadSeconds.Add((now - o.checked).Seconds())
 	}
 	o.checked = now
 	switch overloaded := a.gate.Overloaded(now); {
--- a/forward/balancer_reachability.go
+++ b/forward/balancer_reachability.go
@@ -36,6 +36,7 @@
 		case <-ticker.C:
 		}
 		b.watchOverload()
+		b.logCapacityChanges()
 		if b.updateIsolated() {
 			b.probeAgents(&probes)
 		}
--- a/placement/shortest_wait.go
+++ b/placement/shortest_wait.go
@@ -16,7 +16,8 @@
 		if !Eligible(view, t) || isTried(tried, t) {
 			continue
 		}
-		wait := c.cost(t, now) + overload.waitShare(t, &class, now)
+		cost, _ := c.cost(t, now)
+		wait := cost + overload.waitShare(t, &class, now)
 		if c.mayHaveRoom(t, &class, overload, now) {
 			withRoom.consider(t, wait)
 		} else {
