Agent: reset the flows that a target has certainly lost

Callers whose target crashes while they wait for an answer are not told until their deadline: balancers reset a flow only at its next packet.

With reset_ended_flows the gate collects two proofs that its target has lost its flows: two refused connections at least 100 ms apart without a packet of the target, or packets of two flows that the target owed an answer, returned at least 100 ms apart without a packet of an older flow.

--- a/forward/agent.go
+++ b/forward/agent.go
@@ -71,6 +71,7 @@
 	lastProbe      time.Duration
 	timerArmed     bool // the timer that polls the queues is running
 	timerOutboxes  *agentOutboxes
+	ended          endedFlows
 	closeOnce      sync.Once
 	closed         chan struct{}
 }
@@ -102,6 +103,9 @@
 		closed:         make(chan struct{}),
 	}
 	a.gate.SetLoadControl(c.LoadControl, c.Service)
+	if c.ResetEndedFlows {
+		a.gate.ReportEndedFlows()
+	}
 	a.timerOutboxes = a.newOutboxes()
 	return a, nil
 }
@@ -238,6 +242,7 @@
 	}
 	key := p.KeyFromCaller()
 	a.gate.RecordReturn(key, now)
+	a.resetEndedFlows(now)
 	search := searchKey{flow: key, balancer: sender}
 	if pending, found := a.searches[search]; found {
 		delete(a.searches, search)
--- a/forward/agent_probe.go
+++ b/forward/agent_probe.go
@@ -33,12 +33,12 @@
 		return
 	}
 	a.probing, a.lastProbe = true, now
-	go a.probe()
+	go a.probe(now)
 }
 
 // probe connects to the target's address to find out whether the target runs. Only a refused or reset
 // connection shows that it does not: a timeout may also mean that it is slow.
-func (a *Agent) probe() {
+func (a *Agent) probe(startedAt time.Duration) {
 	dialer := net.Dialer{Timeout: probeTimeout, LocalAddr: &net.TCPAddr{IP: a.config.Target.Addr().AsSlice()}}
 	conn, err := dialer.Dial("tcp4", a.config.Target.String())
 	if err == nil {
@@ -51,6 +51,7 @@
 	a.probing = false
 	now := a.clock.now()
 	wasDown := a.gate.Down()
+	a.recordRefusal(err, startedAt, now)
 	if err == nil || refused {
 		a.gate.RecordProbe(!refused, now)
 	}
--- /dev/null
+++ b/forward/resets_test.go
@@ -0,0 +1,141 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/platform/platformtest"
+)
+
+// waitingCallers are callers with idle flows and callers that wait for a response.
+type waitingCallers struct {
+	b     *testbed
+	group sync.WaitGroup
+	idle  []*platformtest.Flow
+
+	mu    sync.Mutex
+	ended map[flow.Key]ending // how the flows with a request ended
+}
+
+type ending struct {
+	flow *platformtest.Flow
+	err  error
+	at   time.Time
+}
+
+func withEndedFlowResets(b *testbed) { b.resetEndedFlows, b.serviceTime = true, 100*time.Millisecond }
+
+func startCallers(b *testbed, idle int) *waitingCallers {
+	return &waitingCallers{b: b, idle: b.openFlows(idle), ended: make(map[flow.Key]ending)}
+}
+
+// send opens a flow and sends a request on it, unless the flow is refused.
+func (c *waitingCallers) send(id string) {
+	f, err := c.b.caller.Open(context.Background(), serviceAddress)
+	if err != nil {
+		return
+	}
+	err = c.b.request(f, id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended[f.Key()] = ending{f, err, time.Now()}
+}
+
+// load sends a number of requests at an interval, without waiting for their ends.
+func (c *waitingCallers) load(name string, requests int, interval time.Duration) {
+	for n := range requests {
+		c.group.Go(func() { c.send(fmt.Sprintf("%s-%d", name, n)) })
+		time.Sleep(interval)
+	}
+}
+
+// requireNoOtherResets requires that no flows but those that were lost are reset, with a request or without.
+func (c *waitingCallers) requireNoOtherResets(lost map[flow.Key]bool) {
+	c.group.Wait()
+	time.Sleep(50 * time.Millisecond) // the last resets arrive
+	for key, e := range c.ended {
+		if !lost[key] {
+			require.NoError(c.b.t, e.err)
+			require.ErrorIs(c.b.t, e.flow.AwaitReset(context.Background(), time.Millisecond), platformtest.ErrDeadline)
+		}
+	}
+	for _, f := range c.idle {
+		if !lost[f.Key()] {
+			require.ErrorIs(c.b.t, f.AwaitReset(context.Background(), time.Millisecond), platformtest.ErrDeadline)
+		}
+	}
+	c.b.requireNoViolations()
+}
+
+// Guards against callers that wait for their deadline although their target has crashed. Their packets are lost, so that
+// only the agent can tell them.
+func TestWaitingCallersOfCrashedTargetAreReset(t *testing.T) {
+	b := newTestbed(t, 2, 2, withEndedFlowResets)
+	c := startCallers(b, 8)
+	c.load("before", 40, 5*time.Millisecond)
+	lost := b.targets[0].OpenFlows()
+	b.dropPackets(lost)
+	b.targets[0].Close()
+	crashed := time.Now()
+	answered := crashed.Add(5 * time.Millisecond) // responses sent before the crash have arrived
+	told, latest := 0, time.Duration(0)
+	c.group.Go(func() { c.load("after", 40, 10*time.Millisecond) })
+	reset := make([]bool, len(c.idle))
+	for n, f := range c.idle {
+		c.group.Go(func() {
+			reset[n] = errors.Is(f.AwaitReset(context.Background(), 300*time.Millisecond), platformtest.ErrReset)
+		})
+	}
+	c.group.Wait()
+	for n, f := range c.idle {
+		require.Equal(t, lost[f.Key()], reset[n])
+	}
+	c.requireNoOtherResets(lost)
+	for key, e := range c.ended {
+		if !lost[key] || e.at.Before(answered) {
+			continue
+		}
+		require.ErrorIs(t, e.err, platformtest.ErrReset)
+		require.Less(t, e.at.Sub(crashed), 300*time.Millisecond)
+		told, latest = told+1, max(latest, e.at.Sub(crashed))
+	}
+	t.Logf("%d callers that waited were reset, the last after %s", told, latest)
+	require.GreaterOrEqual(t, told, 4, "one for each slot at least")
+}
+
+// Guards against resets of flows that a restarted target accepted.
+func TestOnlyFlowsFromBeforeRestartAreReset(t *testing.T) {
+	b := newTestbed(t, 2, 1, withEndedFlowResets)
+	c := startCallers(b, 4)
+	c.load("before", 20, 5*time.Millisecond)
+	lost := b.targets[0].OpenFlows()
+	b.targets[0].Close()
+	b.startTarget(0)
+	b.publish()
+	c.load("after", 40, 30*time.Millisecond)
+	c.requireNoOtherResets(lost)
+	for _, f := range c.idle {
+		require.ErrorIs(t, f.AwaitReset(context.Background(), 50*time.Millisecond), platformtest.ErrReset)
+	}
+}
+
+// Guards against resets of the flows of a target that is paused, as by a long garbage collection.
+func TestFlowsOfFrozenTargetAreNotReset(t *testing.T) {
+	b := newTestbed(t, 2, 2, withEndedFlowResets)
+	c := startCallers(b, 8)
+	c.load("before", 20, 5*time.Millisecond)
+	thaw := b.targets[0].Freeze()
+	c.load("during", 60, 25*time.Millisecond)
+	thaw()
+	c.requireNoOtherResets(nil)
+	for n, f := range c.idle {
+		require.NoError(t, b.request(f, fmt.Sprintf("idle-%d", n)))
+	}
+}
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -45,10 +45,14 @@
 	outcomes  *burn.Recorder[string]
 	decisions *decisionCounter
 
+	resetEndedFlows bool          // of the agents
+	serviceTime     time.Duration // of the targets
+
 	directoryMu sync.Mutex // guards directory and revision; ConfirmView reads the view in its own goroutine
 
 	mu      sync.Mutex
 	routing func(key flow.Key) int // index of the balancer that gets a packet
+	dropped map[flow.Key]bool      // flows whose packets from the caller are lost
 }
 
 // network is the second byte of the loopback addresses of this program, so that several runs of these tests on one
@@ -100,8 +104,11 @@
 	return c.counts[cause]
 }
 
-func newTestbed(t *testing.T, balancers, targets int) *testbed {
-	b := &testbed{t: t, ledger: platformtest.NewLedger(), directory: directory.New(), outcomes: burn.NewRecorder[string](nil), decisions: newDecisionCounter()}
+func newTestbed(t *testing.T, balancers, targets int, options ...func(*testbed)) *testbed {
+	b := &testbed{t: t, ledger: platformtest.NewLedger(), directory: directory.New(), outcomes: burn.NewRecorder[string](nil), decisions: newDecisionCounter(), serviceTime: 5 * time.Millisecond}
+	for _, option := range options {
+		option(b)
+	}
 	b.routing = func(flow.Key) int { return 0 }
 	b.giveRoute(1, "bench")
 	for n := range targets {
@@ -165,9 +172,19 @@
 func (b *testbed) route(key flow.Key) (netip.AddrPort, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.dropped[key] {
+		return netip.AddrPort{}, false
+	}
 	return addressOf(1, b.routing(key), packetsPort), true
 }
 
+// dropPackets makes the routers drop the packets of the callers of some flows.
+func (b *testbed) dropPackets(dropped map[flow.Key]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dropped = dropped
+}
+
 func (b *testbed) setRouting(routing func(key flow.Key) int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -203,6 +220,8 @@
 		Log:        slog.New(slog.DiscardHandler),
 		Sampler:    logsink.NewSampler(1),
 		Outcomes:   b.outcomes,
+
+		ResetEndedFlows: b.resetEndedFlows,
 	})
 	require.NoError(b.t, err)
 	go agent.Run()
@@ -213,7 +232,7 @@
 func (b *testbed) startTarget(n int) { b.startTargetOf("bench", n) }
 
 func (b *testbed) startTargetOf(service string, n int) {
-	c := platformtest.TargetConfig{ID: fmt.Sprintf("i-%d", n), Service: service, Domain: "a", Slots: 4, ServiceTime: 5 * time.Millisecond}
+	c := platformtest.TargetConfig{ID: fmt.Sprintf("i-%d", n), Service: service, Domain: "a", Slots: 4, ServiceTime: b.serviceTime}
 	target, err := platformtest.NewTarget(c, addressOf(2, n, targetPort), addressOf(2, n, outboundPort), b.ledger)
 	require.NoError(b.t, err)
 	b.t.Cleanup(target.Close)
--- /dev/null
+++ b/targetgate/ended.go
@@ -0,0 +1,287 @@
+package targetgate
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cowslipward/cowslipward/flow"
+)
+
+const (
+	// confirmAfter is the minimum time between the two proofs that a target has lost its flows. A target that runs
+	// contradicts the first proof in the meantime by any packet of a flow that it still has.
+	confirmAfter = 100 * time.Millisecond
+	// proofLifetime is how long the first proof is valid.
+	proofLifetime = time.Second
+	// maxProofAge is the age of the target's last packet of a flow up to which the return of another packet of the
+	// flow is a proof. Targets may close flows that have been idle for longer.
+	maxProofAge = time.Second
+)
+
+// EndCause is the reason why flows have certainly ended.
+type EndCause uint8
+
+// Causes of the end of flows.
+const (
+	CauseTargetDown      EndCause = iota // the target's port refused two connections
+	CauseTargetRestarted                 // the target returned packets of flows that it owned
+)
+
+// String returns the cause as it appears in logs and metrics.
+func (c EndCause) String() string {
+	return [...]string{"target_down", "target_restarted"}[c]
+}
+
+// EndedFlow is a flow that its target has certainly lost.
+type EndedFlow struct {
+	Key     flow.Key
+	Seq     uint32        // the caller's last acknowledgement number, the sequence number for a reset
+	Waiting bool          // the caller waits for a response
+	Since   time.Duration // start of the request, or of the flow's last phase
+	Cause   EndCause
+}
+
+// endFlags records what shows whether a flow is open, and whether its target owes a response.
+type endFlags uint8
+
+const (
+	flagCallerAcked    endFlags = 1 << iota // callerAck is set
+	flagOpened                              // the caller acknowledged the target's SYN+ACK
+	flagCallerFin                           // the caller sent a FIN
+	flagTargetFin                           // the target sent a FIN
+	flagCallerReset                         // the caller reset the flow
+	flagAnswered                            // the target has sent data
+	flagWaitingAtProof                      // a request was queued at the first proof
+	flagHeldAtProof                         // the target had a request at the first proof
+)
+
+// lossProofs collects the proofs that the target has lost its flows. The zero value collects none.
+type lossProofs struct {
+	enabled   bool
+	refusedAt time.Duration // start of the first of successive refused probes; 0: none
+	downKnown bool          // the flows of the target that refuses probes have been ended
+
+	firstAt time.Duration // when the first proof was found; 0: none
+	refused bool          // the first proof was a refused probe
+	// ownedUntil is the latest time at which the target had a flow that it has lost since. Flows without a packet
+	// of the target after that time are lost if the target has restarted.
+	ownedUntil time.Duration
+	// aliveSince is the earliest last packet before firstAt of a flow that the target has proved to own since then;
+	// 0: none. Flows with a packet at that time or later belong to the running process.
+	aliveSince time.Duration
+
+	ended []EndedFlow
+}
+
+// ReportEndedFlows makes the gate collect the flows that its target has certainly lost, for TakeEnded.
+func (g *Gate) ReportEndedFlows() { g.loss.enabled = true }
+
+// TakeEnded returns the flows that have ended since the last call: those whose callers wait for a response, oldest
+// first, then the others.
+func (g *Gate) TakeEnded() []EndedFlow {
+	ended := g.loss.ended
+	g.loss.ended = nil
+	return ended
+}
+
+// IsReopened reports whether the target may have a flow again that has ended: its caller has opened a new flow with
+// the same endpoints.
+func (g *Gate) IsReopened(key flow.Key, now time.Duration) bool {
+	s, found := g.flows.Get(key, now)
+	return found && (s.phase == requestOpening || s.synAcked || s.confirmed)
+}
+
+// RecordRefusal records that the target's port refused a connection attempt that started at a time. The flows of the
+// target have ended with the second refusal, unless the target sent a packet after the start of the first. It returns
+// when to probe again, or 0 if there is no need. It has to precede RecordProbe, which ends all requests.
+func (g *Gate) RecordRefusal(startedAt, now time.Duration) (probeAfter time.Duration) {
+	l := &g.loss
+	switch {
+	case !l.enabled:
+		return 0
+	case g.lastPacket >= startedAt:
+		l.refusedAt = 0 // the target may have stopped after this probe began; the next one is the first proof
+		return confirmAfter
+	case l.refusedAt == 0 || g.lastPacket >= l.refusedAt:
+		l.refusedAt, l.downKnown = startedAt, false
+		g.suspectLoss(startedAt, startedAt-1, true, now)
+		return confirmAfter
+	case startedAt-l.refusedAt < confirmAfter:
+		return confirmAfter
+	case !l.downKnown:
+		l.downKnown = true
+		g.endFlows(l.refusedAt-1, CauseTargetDown)
+	}
+	return 0
+}
+
+// RecordNoRefusal records that a probe was not refused, so that the next refusal is a first proof.
+func (g *Gate) RecordNoRefusal() { g.loss.refusedAt = 0 }
+
+// recordDisowned considers whether a packet that the target returned proves that the target has restarted.
+func (g *Gate) recordDisowned(s *flowState, now time.Duration) {
+	l := &g.loss
+	if !l.enabled || !s.provesLoss(now) {
+		return
+	}
+	isFirst := l.firstAt == 0 || now-l.firstAt > proofLifetime || s.lastPacket >= l.firstAt ||
+		(l.aliveSince != 0 && s.lastPacket >= l.aliveSince)
+	owed := s.owesResponse(now)
+	switch {
+	case isFirst && owed:
+		g.suspectLoss(now, s.lastPacket, false, now)
+	case isFirst || (!owed && !l.refused):
+		// A target may close a flow that it has answered by rules of its own.
+	default:
+		l.ownedUntil = max(l.ownedUntil, s.lastPacket)
+		if now-l.firstAt >= confirmAfter {
+			g.endFlows(l.ownedUntil, CauseTargetRestarted)
+		}
+	}
+}
+
+// suspectLoss records the first proof, and which flows have a request at this time.
+func (g *Gate) suspectLoss(at, ownedUntil time.Duration, refused bool, now time.Duration) {
+	g.loss.firstAt, g.loss.ownedUntil, g.loss.refused, g.loss.aliveSince = at, ownedUntil, refused, 0
+	for _, s := range g.inProgress {
+		if now-s.since >= restartGrace {
+			s.endFlags |= flagHeldAtProof
+		}
+		s.endFlags |= flagWaitingAtProof
+	}
+	for i := range g.requestQueue.items {
+		if s, found := g.flows.Get(g.requestQueue.items[i].key, now); found && s.phase == requestQueued {
+			s.endFlags |= flagWaitingAtProof
+		}
+	}
+}
+
+// recordOwned records a packet that the target sent of a flow. It contradicts a proof of loss if the target had the
+// flow before. It has to precede the update of the flow's lastPacket.
+func (g *Gate) recordOwned(s *flowState, p *flow.Packet) {
+	if p.Fin {
+		s.endFlags |= flagTargetFin
+	}
+	if p.DataLen > 0 {
+		s.endFlags |= flagAnswered
+	}
+	if p.Syn || p.Reset {
+		return // any process of the target may send these
+	}
+	s.endFlags &^= flagWaitingAtProof | flagHeldAtProof
+	l := &g.loss
+	switch {
+	case l.firstAt == 0 || s.lastPacket >= l.firstAt:
+	case s.lastPacket <= l.ownedUntil:
+		l.firstAt, l.refusedAt = 0, 0
+	case l.aliveSince == 0 || s.lastPacket < l.aliveSince:
+		l.aliveSince = s.lastPacket
+	}
+}
+
+// recordCallerPacket records what a caller's packet shows about its flow.
+func (s *flowState) recordCallerPacket(p *flow.Packet) {
+	if p.AckFlag && (s.endFlags&flagCallerAcked == 0 || int32(p.Ack-s.callerAck) > 0) {
+		s.callerAck = p.Ack
+		s.endFlags |= flagCallerAcked
+	}
+	if s.acksSYN(p) {
+		s.endFlags |= flagOpened
+	}
+	if p.Fin {
+		s.endFlags |= flagCallerFin
+	}
+	if p.Reset {
+		s.endFlags |= flagCallerReset
+	}
+}
+
+// acksSYN reports whether a caller's packet acknowledges the target's SYN+ACK and nothing after it.
+func (s *flowState) acksSYN(p *flow.Packet) bool {
+	return s.synAcked && p.AckFlag && p.Ack-s.synAckSeq <= 1
+}
+
+// isOwned reports whether the target was proved to own the flow, and the agent knows the sequence number for a reset.
+func (s *flowState) isOwned() bool {
+	return s.endFlags&flagCallerAcked != 0 && (s.confirmed || s.endFlags&flagOpened != 0)
+}
+
+// isWaiting reports whether the caller waits for a response, or did at the first proof.
+func (s *flowState) isWaiting() bool {
+	return s.phase == requestQueued || s.phase == requestInProgress || s.endFlags&flagWaitingAtProof != 0
+}
+
+// isClosed reports whether the flow ended properly: by a reset, by FINs of both sides, or by the FIN of one side after
+// the other got everything that it waited for. A FIN may precede packets of a response that are lost.
+func (s *flowState) isClosed() bool {
+	has := func(flag endFlags) bool { return s.endFlags&flag != 0 }
+	switch {
+	case has(flagCallerReset):
+		return true
+	case has(flagCallerFin):
+		return has(flagTargetFin) || !s.isWaiting()
+	case has(flagTargetFin):
+		return int32(s.callerAck-s.response.next) >= 0
+	default:
+		return false
+	}
+}
+
+// provesLoss reports whether the return of a packet of the flow is a proof that the target has lost flows: it owned
+// the flow a moment ago, and neither side has closed it.
+func (s *flowState) provesLoss(now time.Duration) bool {
+	const closed = flagCallerFin | flagTargetFin | flagCallerReset
+	return s.isOwned() && s.endFlags&closed == 0 && now-s.lastPacket < maxProofAge
+}
+
+// owesResponse reports whether the target had a reason to keep the flow: it has not answered on it yet, or it has had
+// a request for longer than restartGrace.
+func (s *flowState) owesResponse(now time.Duration) bool {
+	held := s.phase == requestInProgress && now-s.since >= restartGrace
+	return held || s.endFlags&flagHeldAtProof != 0 || s.endFlags&flagAnswered == 0
+}
+
+// endFlows ends the flows that the target owned and of which it has sent no packet after a time.
+func (g *Gate) endFlows(until time.Duration, cause EndCause) {
+	g.flows.Each(func(key flow.Key, s *flowState) bool {
+		if s.isOwned() && s.lastPacket <= until && !s.isClosed() {
+			g.loss.ended = append(g.loss.ended, EndedFlow{
+				Key: key, Seq: s.callerAck, Waiting: s.isWaiting(), Since: s.since, Cause: cause,
+			})
+			g.removeEnded(key, s)
+		}
+		return true
+	})
+	sortEnded(g.loss.ended)
+}
+
+// removeEnded removes a flow. Its request counts as lost.
+func (g *Gate) removeEnded(key flow.Key, s *flowState) {
+	if s.phase == requestQueued {
+		g.lostRequests++
+	}
+	g.endUnanswered(key, s)
+	g.flows.Delete(key)
+}
+
+// MergeEnded returns both lists as one, in the order in which the callers are to be told.
+func MergeEnded(a, b []EndedFlow) []EndedFlow {
+	merged := append(a, b...)
+	sortEnded(merged)
+	return merged
+}
+
+func sortEnded(list []EndedFlow) { slices.SortStableFunc(list, EndedFlow.compare) }
+
+// compare orders flows by the start of their requests, and those without a request last.
+func (e EndedFlow) compare(other EndedFlow) int {
+	switch {
+	case e.Waiting == other.Waiting:
+		return cmp.Compare(e.Since, other.Since)
+	case e.Waiting:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -116,6 +116,8 @@
 	synAckSeq uint32
 	// opensElsewhere is set if the caller opened the flow at another target while its SYN was queued here.
 	opensElsewhere bool
+	endFlags       endFlags
+	callerAck      uint32        // the caller's last acknowledgement number, if endFlags has flagCallerAcked
 	lastPacket     time.Duration // when the target last sent a packet of the flow
 	callerEnd      uint32        // sequence number after the caller's last new byte
 	callerEndSet   bool
@@ -145,6 +147,7 @@
 	backoffUntil     time.Duration   // when the present pause ends
 	restartedAt      time.Duration   // when the last restart of the target was detected
 	failures         failureRatio
+	loss             lossProofs
 	stuckRequests    int // requests in progress without a response for stuckTimeout
 	lostRequests     int // requests that ended without a response since the last call of TakeLost
 }
--- a/targetgate/requests.go
+++ b/targetgate/requests.go
@@ -29,6 +29,7 @@
 		s = &flowState{opensElsewhere: g.flowQueue.removeFlow(key)}
 		g.flows.Put(key, s, now)
 	}
+	s.recordCallerPacket(p)
 	confirmed = s.isConfirmed(p)
 	if searcher.IsValid() && !confirmed {
 		s.searcher = searcher
@@ -56,8 +57,7 @@
 // or the packet acknowledges the target's SYN+ACK. The latter also covers packets that come through a balancer
 // which does not know the target, because routers sent the SYN through another balancer.
 func (s *flowState) isConfirmed(p *flow.Packet) bool {
-	acksSyn := s.synAcked && p.AckFlag && p.Ack-s.synAckSeq <= 1
-	return s.confirmed || s.phase == requestQueued || acksSyn
+	return s.confirmed || s.phase == requestQueued || s.acksSYN(p)
 }
 
 // isOpenElsewhere reports whether the packet shows that the caller has opened the flow at another target: it acknowledges
@@ -181,6 +181,7 @@
 		g.returnBackoff = min(max(minReturnBackoff, 2*g.returnBackoff), maxReturnBackoff)
 		g.backoffUntil = now + g.returnBackoff
 	}
+	g.recordDisowned(s, now)
 	g.endUnanswered(key, s)
 	g.flows.Delete(key)
 	if s.confirmed && s.lastPacket > g.restartedAt {
--- a/targetgate/responses.go
+++ b/targetgate/responses.go
@@ -45,6 +45,7 @@
 		s = &flowState{}
 		g.flows.Put(key, s, now)
 	}
+	g.recordOwned(s, p)
 	s.confirmed = s.confirmed || !p.Syn
 	s.lastPacket = now
 	if p.Syn {
