--- a/forward/agent_metrics.go
+++ b/forward/agent_metrics.go
@@ -26,7 +26,7 @@
 		encap.ReasonOverloaded: metrics.NewCounter(`cowslip_refused_flows_total{reason="overloaded"}`),
 	}
 	shedFlows             = newShedCounters()
-	targetOverloadSeconds = metrics.NewFloatCounter("cowslip_overload_seconds_total")
+	targetOverloadSeconds = metrics.NewFloatCounter("cowslip_target_overload_seconds_total")
 	startedRequests       = metrics.NewCounter("cowslip_started_requests_total")
 	startedRetries        = metrics.NewCounter("cowslip_started_retries_total")
 	lostRequests          = metrics.NewCounter("cowslip_lost_requests_total")
@@ -59,7 +59,7 @@
 func newShedCounters() [targetgate.PriorityLevels]*metrics.Counter {
 	var counters [targetgate.PriorityLevels]*metrics.Counter
 	for level := range counters {
-		counters[level] = metrics.NewCounter(fmt.Sprintf(`cowslip_shed_flows_total{priority="%d"}`, level))
+		counters[level] = metrics.NewCounter(fmt.Sprintf(`cowslip_target_shed_flows_total{priority="%d"}`, level))
 	}
 	return counters
 }
