Dispatch: model of placement under overload

The model of flow search did not cover balancers that refuse flows early. With load control on and targets that refuse because of overload, it checks that no flow is refused early unless three quarters of the targets said so to that balancer within 500 ms and its view is recent. Sequences of TestModelFlowSearch stay the same.

--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -184,8 +184,9 @@
 	d = newLoadFleet(8).dispatcher()
 	d.SetLoadControl(loadcontrol.Settings{MaxSlots: loadSlots, ShedOverload: true})
 	for port := uint16(1); port < 9; port++ {
-		last, _ = refuseAll(d, syn(port, 0), encap.ReasonOverloaded, seconds(2.1))
-		require.Equal(t, dispatch.OutcomeDrop, last.Outcome, "the view was confirmed 1.1 seconds ago")
+		last, offers = refuseAll(d, syn(port, 0), encap.ReasonOverloaded, seconds(2.1+0.05*float64(port)))
+		require.Equal(t, dispatch.OutcomeDrop, last.Outcome, "the view was confirmed more than one second ago")
+		require.Len(t, offers, 9)
 	}
 }
 
@@ -195,13 +196,15 @@
 	urgent := syn(1, 0)
 	urgent.To = urgentAddress
 	d := balancerAfterRefusals(8, serviceAddress, true)
-	for n := range 8 {
-		d.HandleReport(ip(n), &encap.Header{Kind: encap.KindReport, Capacity: encap.Capacity{WaitCode: 255}}, seconds(2.05))
+	for now := 2.05; now < 2.5; now += 0.1 {
+		for n := range 8 {
+			d.HandleReport(ip(n), &encap.Header{Kind: encap.KindReport, Capacity: encap.Capacity{WaitCode: 255}}, seconds(now))
+		}
+		last, offers := refuseAll(d, urgent, encap.ReasonBusy, seconds(now))
+		require.Equal(t, dispatch.CauseNoRoom, last.Cause)
+		require.Len(t, offers, 9)
 	}
-	last, offers := refuseAll(d, urgent, encap.ReasonBusy, seconds(2.1))
-	require.Equal(t, dispatch.CauseNoRoom, last.Cause)
-	require.Len(t, offers, 9)
-	last, _ = refuseAll(d, syn(2, 0), encap.ReasonOverloaded, seconds(2.1))
+	last, _ := refuseAll(d, syn(2, 0), encap.ReasonOverloaded, seconds(2.46))
 	require.True(t, last.Shed)
 
 	d = balancerAfterRefusals(8, urgentAddress, true)
--- a/dispatch/sim_opening_test.go
+++ b/dispatch/sim_opening_test.go
@@ -84,6 +84,8 @@
 		refuse(encap.ReasonRefused)
 	case !t.full:
 		t.accepted[port] = true
+	case s.overload != nil:
+		refuse(encap.ReasonOverloaded)
 	case m.header.MayWait:
 		t.queued = append(t.queued, port)
 	default:
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -67,6 +67,7 @@
 	// search that it started may lead to a reset after the flow has opened.
 	early     map[uint16]bool
 	delivered map[uint16]int // number of packets that the owner received, by flow
+	overload  *overloadModel // nil if load control is off
 }
 
 func newSim(t *rapid.T) *sim {
@@ -144,6 +145,7 @@
 	s.balancers[n] = dispatch.New(domainA, dispatch.KeepFlowsForever)
 	s.directories[n] = directory.New()
 	s.incarnations[n]++
+	s.overload.restartBalancer(s.balancers[n], n)
 }
 
 // confirm gives a balancer the current records of the store. It does not learn of configurations between the last
@@ -185,6 +187,9 @@
 			s.send(n, path.First.Address.IP, path.Header, p)
 		}
 	case dispatch.OutcomeReset:
+		if d.Shed {
+			s.requireOverload(n)
+		}
 		if p.OpensFlow() || s.early[p.From.Port] {
 			return
 		}
@@ -205,6 +210,7 @@
 	case m.header.Kind == encap.KindFound:
 		s.balancers[m.balancer].HandleFound(m.agent, &m.header, m.packet, s.now)
 	default:
+		s.overload.recordReturn(m.balancer, m.agent, m.header.Reason, s.now)
 		s.execute(m.balancer, s.balancers[m.balancer].HandleReturn(m.agent, &m.header, m.packet, s.now), m.packet)
 	}
 }
