Balancer: direct offers once queues are long, before overload lasts

A service whose targets all have queues refuses offers of flows that may not wait, also in peaks that are too short for early refusals.

Direct offers now start when three quarters of the targets reported a wait of a quarter of the objective. Targets are compared by the reported wait first, since queue lengths do not tell the speed of a target. Early refusals still need the stricter state.

--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -9,11 +9,11 @@
 	"github.com/cowslipward/cowslipward/placement"
 )
 
-// maxDirectOffers limits the number of targets that a new flow of an overloaded service is offered to per SYN.
+// maxDirectOffers limits the number of targets that a new flow of a full service is offered to per SYN.
 const maxDirectOffers = 3
 
 // directOffers is the state of the offers of one SYN to targets that may queue the flow although other targets were
-// not asked for a free slot, because their service is overloaded.
+// not asked for a free slot, because their service is full.
 type directOffers struct {
 	made       uint8 // 0: the flow is offered as usual
 	overloaded uint8 // offers that were refused because of overload
@@ -46,17 +46,23 @@
 	return placement.Class{Service: e.service, Priority: encap.Clamp8(route.Priority), Objective: route.Objective}
 }
 
-// isKnownOverloaded reports whether the service of a new flow is known to be overloaded for it. A process with an old
-// view, or one that reaches no agent, does not know.
-func (d *Dispatcher) isKnownOverloaded(e *entry, route *directory.Route, now time.Duration) bool {
-	return d.sheds(e.service) && now-d.confirmedAt <= maxRefusalViewAge &&
-		d.overload.IsOverloaded(classOf(e, route), now) && !d.loads.Isolated(now)
+// assessOverload returns how far the service of a new flow is known to be overloaded for it. A process with an old view,
+// or one that reaches no agent, does not know.
+func (d *Dispatcher) assessOverload(e *entry, route *directory.Route, now time.Duration) placement.Overload {
+	if !d.sheds(e.service) || now-d.confirmedAt > maxRefusalViewAge {
+		return placement.Overload{}
+	}
+	known := d.overload.Assess(classOf(e, route), now)
+	if known.IsFull && d.loads.Isolated(now) {
+		return placement.Overload{}
+	}
+	return known
 }
 
-// offerDirectly offers a new flow of an overloaded service to the target with the shortest wait. It returns false if
-// the service is not known to be overloaded, or if the flow was offered to enough targets.
+// offerDirectly offers a new flow of a full service to the target with the shortest wait. It returns false if the
+// service is not known to be full, or if the flow was offered to enough targets.
 func (d *Dispatcher) offerDirectly(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) (Decision, bool) {
-	if e.direct.made >= maxDirectOffers || !d.isKnownOverloaded(e, route, now) {
+	if e.direct.made >= maxDirectOffers || !d.assessOverload(e, route, now).IsFull {
 		return Decision{}, false
 	}
 	t := d.chooser.ShortestWait(d.view, classOf(e, route), key.Hash(), e.tried, d.overload, now)
@@ -91,12 +97,13 @@
 	if next, ok := d.offerDirectly(key, e, p, route, now); ok {
 		return next
 	}
-	if !d.isKnownOverloaded(e, route, now) {
+	known := d.assessOverload(e, route, now)
+	if !known.IsFull {
 		e.direct = directOffers{}
 		return d.offerNext(key, e, CauseNextTarget, p, route, now)
 	}
-	if e.direct.overloaded < e.direct.made {
-		return d.handleNoRoom(key, e, p, now) // it may have been refused for a reason that ends before the next SYN
+	if !known.Overloaded || e.direct.overloaded < e.direct.made {
+		return d.handleNoRoom(key, e, p, now) // there may be room when the next SYN arrives
 	}
 	refused := d.refuse(key, e, CauseOverload, p, now)
 	refused.Shed, refused.Header.Priority = true, encap.Clamp8(route.Priority)
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// statementLifetime is how long a report or a refusal says something about the overload of a target. Agents report
-	// every 200 to 400 ms, so that one lost report leaves a gap.
-	statementLifetime = 500 * time.Millisecond
 	// overloadedNumerator and overloadedDenominator are the share of the eligible targets of a service that have to say
 	// that they are overloaded. The others may have room that this process does not know of.
 	overloadedNumerator, overloadedDenominator = 3, 4
@@ -21,11 +18,6 @@
 	maxEvaluationInterval   = 60 * time.Millisecond
 	// classLifetime is how long the state of a class is kept without being used.
 	classLifetime = 10 * time.Second
-	// maxRefusals limits the refusals that are kept of one target: one for each pair of priority and objective.
-	maxRefusals = 3
-	// drainedShare is the share of the objective of a refused flow at and below which a reported wait shows that the
-	// target is no longer overloaded. A target that sheds keeps its wait close to the objective.
-	drainedShare = 0.5
 )
 
 // Class is a set of new flows that are treated alike by admission: those to one service with the same priority and
@@ -36,58 +28,6 @@
 	Objective time.Duration
 }
 
-// refusal is a refusal because of overload. It holds for flows of the same or a lower priority whose objective is not
-// longer.
-type refusal struct {
-	at        time.Duration // 0: none
-	priority  uint8
-	objective time.Duration
-}
-
-func (r *refusal) holdsFor(c *Class) bool {
-	return c.Priority >= r.priority && c.Objective <= r.objective
-}
-
-// statements is what the agent of a target said about its load.
-type statements struct {
-	reportedAt time.Duration // time of the last report; 0: none
-	wait       time.Duration // time that a new request would wait, from the last report
-	refusals   [maxRefusals]refusal
-}
-
-// refused reports whether the target refused a flow because of overload at or after the time since, in a way that
-// holds for the class.
-func (s *statements) refused(c *Class, since time.Duration) bool {
-	for i := range s.refusals {
-		if r := &s.refusals[i]; r.at != 0 && r.at >= since && r.holdsFor(c) {
-			return true
-		}
-	}
-	return false
-}
-
-// reportsLongWait reports whether the last report, if it arrived at or after the time since, has a longer wait than
-// the objective.
-func (s *statements) reportsLongWait(objective, since time.Duration) bool {
-	return s.reportedAt != 0 && s.reportedAt >= since && s.wait > objective
-}
-
-// slotFor returns the place for a refusal: that of the same kind, or the oldest. The loss of another one only delays
-// early refusals.
-func (s *statements) slotFor(priority uint8, objective time.Duration) *refusal {
-	oldest := &s.refusals[0]
-	for i := range s.refusals {
-		r := &s.refusals[i]
-		if r.at != 0 && r.priority == priority && r.objective == objective {
-			return r
-		}
-		if r.at < oldest.at {
-			oldest = r
-		}
-	}
-	return oldest
-}
-
 // classState is the state of a class, as evaluated at evaluatedAt.
 type classState struct {
 	Overload
@@ -99,8 +39,10 @@
 // Overload is how far a service is overloaded for the flows of a class, as far as this process knows.
 type Overload struct {
 	Class
-	Said       int           // eligible targets that said recently that they are overloaded
 	Eligible   int           // targets that may get new flows
+	Full       int           // those that said recently that they have no free slots and a queue
+	Said       int           // those that said recently that they are overloaded
+	IsFull     bool          // enough of them are full, so that offers of flows that may not wait are in vain
 	Overloaded bool          // enough of them said so, and for long enough
 	Since      time.Duration // of Overloaded: when it was found
 }
@@ -111,8 +53,8 @@
 	view    *directory.View
 	byIP    map[[4]byte]*statements
 	classes map[Class]*classState
-	// saidAt is the time of the last statement of any target that it is overloaded. Without a recent one, nothing is
-	// evaluated.
+	// saidAt is the time of the last statement of any target that it is full or overloaded. Without a recent one, nothing
+	// is evaluated.
 	saidAt time.Duration
 	routes routeBounds
 }
@@ -165,13 +107,8 @@
 	if s == nil {
 		return
 	}
-	s.reportedAt, s.wait = now, encap.Wait(waitCode)
-	for i := range s.refusals {
-		if r := &s.refusals[i]; float64(s.wait) <= drainedShare*float64(r.objective) {
-			*r = refusal{}
-		}
-	}
-	if s.wait > o.routeBounds().shortestObjective {
+	s.recordWait(encap.Wait(waitCode), now)
+	if s.wait > 0 && isFull(s.wait, o.routeBounds().shortestObjective) {
 		o.saidAt = now
 	}
 }
@@ -186,12 +123,12 @@
 	o.saidAt = now
 }
 
-// IsOverloaded reports whether the service of the class is overloaded for its flows: at least three quarters of the
-// eligible targets refused flows because of overload within statementLifetime or, for longer than the objective,
-// reported waits that exceed it.
-func (o *OverloadTracker) IsOverloaded(class Class, now time.Duration) bool {
+// Assess returns how far the service of the class is overloaded for its flows. It is overloaded if at least three
+// quarters of the eligible targets refused flows because of overload within statementLifetime or, for longer than the
+// objective, reported waits that exceed it.
+func (o *OverloadTracker) Assess(class Class, now time.Duration) Overload {
 	if class.Objective <= 0 || o.saidAt == 0 || now-o.saidAt > statementLifetime {
-		return false
+		return Overload{Class: class}
 	}
 	state := o.classes[class]
 	if state == nil {
@@ -200,7 +137,7 @@
 	}
 	state.usedAt = now
 	o.evaluate(state, now)
-	return state.Overloaded
+	return state.Overload
 }
 
 // AppendOverloaded appends the state of the overloaded classes to dst, in no particular order.
@@ -227,6 +164,7 @@
 	}
 	refused := o.count(state, now-statementLifetime+interval)
 	state.evaluatedAt = now
+	state.IsFull = isMost(state.Full, state.Eligible)
 	switch {
 	case !isMost(state.Said, state.Eligible):
 		state.overloadedFrom = 0
@@ -247,9 +185,9 @@
 }
 
 // count counts the eligible targets of a class, and those of them that said at or after the time since that they are
-// overloaded. It returns how many of these refused flows.
+// full or overloaded. It returns how many refused flows because of overload.
 func (o *OverloadTracker) count(state *classState, since time.Duration) (refused int) {
-	state.Said, state.Eligible = 0, 0
+	state.Eligible, state.Full, state.Said = 0, 0, 0
 	// Reports do not tell whose requests wait: they count only for routes of the lowest priority, because requests of a
 	// higher one do not wait behind them.
 	reportsCount := state.Priority >= o.routeBounds().lowestPriority[state.Service]
@@ -259,12 +197,18 @@
 		}
 		state.Eligible++
 		s := o.byIP[t.Address.IP]
-		switch {
-		case s == nil:
-		case s.refused(&state.Class, since):
+		if s == nil {
+			continue
+		}
+		wait := s.waitSince(since)
+		isRefusing := s.refused(&state.Class, since)
+		if isRefusing {
 			refused++
-			state.Said++
-		case reportsCount && s.reportsLongWait(state.Objective, since):
+		}
+		if isRefusing || isFull(wait, state.Objective) {
+			state.Full++
+		}
+		if isRefusing || (reportsCount && wait > state.Objective) {
 			state.Said++
 		}
 	}
--- a/placement/shortest_wait.go
+++ b/placement/shortest_wait.go
@@ -6,7 +6,16 @@
 	"github.com/cowslipward/cowslipward/directory"
 )
 
-// ShortestWait returns the target to which a new flow of an overloaded service is offered with the permission to wait,
+const (
+	// costShare weighs the cost of a target against its reported wait as a share of the objective. The wait includes the
+	// speed of the target, which the cost does not; the cost includes the flows placed since the report. With a work of
+	// a twentieth to a tenth of the objective, one flow per slot changes both by about the same amount.
+	costShare = 0.1
+	// unknownWaitShare is assumed of targets without a recent report.
+	unknownWaitShare = 1.0
+)
+
+// ShortestWait returns the target to which a new flow of a full service is offered with the permission to wait,
 // or nil if none is left. It considers the first few candidates in the flow's order of preference that were not tried
 // and may have room, as far as is known, or the first few in any state if there are none. Considering few keeps
 // processes with outdated reports from all choosing the same target.
@@ -16,7 +25,7 @@
 		if !Eligible(view, t) || isTried(tried, t) {
 			continue
 		}
-		wait := c.cost(t, now) + overload.waitShare(t, &class, now)
+		wait := overload.waitShare(t, &class, now) + costShare*c.cost(t, now)
 		if c.mayHaveRoom(t, &class, overload, now) {
 			withRoom.consider(t, wait)
 		} else {
@@ -36,14 +45,14 @@
 	}
 	s := overload.byIP[t.Address.IP]
 	since := now - statementLifetime
-	return s != nil && s.reportedAt != 0 && s.reportedAt >= since && s.wait <= class.Objective && !s.refused(class, since)
+	return s.isReportedSince(since) && s.wait <= class.Objective && !s.refused(class, since)
 }
 
 // waitShare returns the wait that the target last reported, as a multiple of the objective of the class.
 func (o *OverloadTracker) waitShare(t *directory.Target, class *Class, now time.Duration) float64 {
 	s := o.byIP[t.Address.IP]
-	if s == nil || now-s.reportedAt > statementLifetime || class.Objective <= 0 {
-		return 0
+	if !s.isReportedSince(now-statementLifetime) || class.Objective <= 0 {
+		return unknownWaitShare
 	}
 	return float64(s.wait) / float64(class.Objective)
 }
