--- a/placement/overload.go
+++ b/placement/overload.go
@@ -119,7 +119,7 @@
 	if s == nil || class.Objective <= 0 {
 		return
 	}
-	*s.slotFor(class.Priority, class.Objective) = refusal{at: now, priority: class.Priority, objective: class.Objective}
+	*s.slotFor(class.Priority, class.Objective) = refusal{at: now, saidAt: now, priority: class.Priority, objective: class.Objective}
 	o.saidAt = now
 }
 
--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -79,6 +79,24 @@
 	require.False(t, o.Assess(benchClass, time.Second+100*ms).Overloaded)
 }
 
+// Load: eight targets are overloaded, and the balancer has so few flows that each target refuses one of them only once.
+// Guards against balancers that forget within 500 ms what they cannot hear again, and against refusals that are
+// prolonged for good by a queue that is long for another reason.
+func TestLongWaitProlongsRefusals(t *testing.T) {
+	o := placement.NewOverloadTracker(newView(8, 2, "a"))
+	for n := range 8 {
+		o.RecordRefusal(ip(n), benchClass, time.Second)
+	}
+	for now := time.Second; now < 4*time.Second; now += 200 * ms {
+		for n := range 8 {
+			o.RecordReport(ip(n), encap.WaitCode(280*ms), now)
+		}
+		require.Equal(t, now < 3500*ms, o.Assess(benchClass, now).Overloaded, "at %s", now)
+	}
+	require.True(t, o.Assess(benchClass, 4100*ms).IsFull)
+	require.False(t, o.Assess(benchClass, 4400*ms).IsFull, "no reports")
+}
+
 // Load: ten targets are overloaded, and the balancer's reports are recent. Guards against direct offers to targets that
 // said that they are overloaded, or do not answer, while others may have room.
 func TestShortestWaitPrefersTargetsWithRoom(t *testing.T) {
--- a/placement/statements.go
+++ b/placement/statements.go
@@ -6,6 +6,9 @@
 	// statementLifetime is how long a report or a refusal says something about the overload of a target. Agents report
 	// every 200 to 400 ms, so that one lost report leaves a gap.
 	statementLifetime = 500 * time.Millisecond
+	// maxRefusalAge is how long reports without a short wait can prolong a refusal. A process with few flows for a service
+	// is refused less often than twice a second by each target.
+	maxRefusalAge = 2 * time.Second
 	// maxRefusals limits the refusals that are kept of one target: one for each pair of priority and objective.
 	maxRefusals = 3
 	// fullShare is the share of the objective at and above which a reported wait shows that the target is full: its queue
@@ -20,6 +23,7 @@
 // longer.
 type refusal struct {
 	at        time.Duration // 0: none
+	saidAt    time.Duration // time of the refusal, or of the last report that shows that the target has not drained since
 	priority  uint8
 	objective time.Duration
 }
@@ -35,11 +39,11 @@
 	refusals   [maxRefusals]refusal
 }
 
-// refused reports whether the target refused a flow because of overload at or after the time since, in a way that
-// holds for the class.
+// refused reports whether the target refuses flows of the class because of overload, as it said at or after the time
+// since.
 func (s *statements) refused(c *Class, since time.Duration) bool {
 	for i := range s.refusals {
-		if r := &s.refusals[i]; r.at != 0 && r.at >= since && r.holdsFor(c) {
+		if r := &s.refusals[i]; r.at != 0 && r.saidAt >= since && r.holdsFor(c) {
 			return true
 		}
 	}
@@ -79,12 +83,17 @@
 	return oldest
 }
 
-// recordWait records the wait of a report. A short one revokes refusals.
+// recordWait records the wait of a report. A short one revokes refusals, and a longer one prolongs them: the target has
+// had a long queue since then.
 func (s *statements) recordWait(wait, now time.Duration) {
 	s.reportedAt, s.wait = now, wait
 	for i := range s.refusals {
-		if r := &s.refusals[i]; float64(wait) <= drainedShare*float64(r.objective) {
+		r := &s.refusals[i]
+		switch {
+		case float64(wait) <= drainedShare*float64(r.objective):
 			*r = refusal{}
+		case now-r.at <= maxRefusalAge:
+			r.saidAt = now
 		}
 	}
 }
