--- a/placement/placement.go
+++ b/placement/placement.go
@@ -173,29 +173,6 @@
 	}
 }
 
-// Cost returns the estimated load of a target as a fraction of its slots, plus penalties if the target may no longer
-// exist, recently refused a new flow or fails requests.
-func (l *LoadTracker) Cost(t *directory.Target, now time.Duration) float64 {
-	entry := l.byIP[t.Address.IP]
-	if entry == nil {
-		return availabilityPenalty(t, false)
-	}
-	return entry.cost(t, float64(t.Slots), now)
-}
-
-// cost returns the estimated load of the target as a fraction of the slots, plus penalties.
-func (l *load) cost(t *directory.Target, slots float64, now time.Duration) float64 {
-	work := l.meanInProgress + l.decayedRecentFlows(now) + float64(l.waiting)
-	cost := work/slots + availabilityPenalty(t, l.isUnresponsive(now))
-	if l.recentlyRefused(now) {
-		cost += refusalPenalty
-	}
-	if rate := l.decayedFailureRate(now); rate >= FailureRateThreshold {
-		cost += failureRatePenalty * rate
-	}
-	return cost
-}
-
 // Unresponsive reports whether the target on the VM or its agent does not answer.
 func (l *LoadTracker) Unresponsive(ip [4]byte, now time.Duration) bool {
 	entry := l.byIP[ip]
@@ -206,17 +183,6 @@
 	return l.targetSilent || (l.unansweredSince != 0 && now-l.unansweredSince > silenceTimeout)
 }
 
-func availabilityPenalty(t *directory.Target, unresponsive bool) float64 {
-	sum := 0.0
-	if t.ExpiredAt != 0 {
-		sum += expiredPenalty
-	}
-	if unresponsive {
-		sum += unresponsivePenalty
-	}
-	return sum
-}
-
 // Eligible reports whether the target may get new flows: it is ready and its failure domain is in service.
 func Eligible(view *directory.View, t *directory.Target) bool {
 	return t.State == directory.TargetReady && !view.IsDomainOut(t.Domain)
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -47,37 +47,3 @@
 	}
 	return entry.learned
 }
-
-// routeCost returns the cost of a target for a flow of the route, and its load as a fraction of the requests that it
-// handles at once, with the same penalties. Without learned capacity, both are the result of Cost.
-func (l *LoadTracker) routeCost(t *directory.Target, route routeOfFlow, now time.Duration) (cost, load float64) {
-	entry := l.byIP[t.Address.IP]
-	if entry == nil {
-		cost = availabilityPenalty(t, false)
-		return cost, cost
-	}
-	if entry.learned == nil {
-		cost = entry.cost(t, float64(t.Slots), now)
-		return cost, cost
-	}
-	speed := entry.learned.Speed(now)
-	slots := float64(entry.learned.Limit(t.Slots, now))
-	load = entry.cost(t, slots, now)
-	if speed == 1 {
-		return load, load
-	}
-	return entry.cost(t, slots*speed, now) + entry.loss(t, speed, route, now), load
-}
-
-// loss returns what a caller loses at a target of the speed, as a fraction of the slots. It is negative at a fast target.
-func (l *load) loss(t *directory.Target, speed float64, route routeOfFlow, now time.Duration) float64 {
-	loss := (1/speed - 1) / float64(t.Slots)
-	if loss <= maxLossInTime {
-		return loss
-	}
-	duration := l.learned.Duration(route.tag, now)
-	if duration > 0 && duration < time.Duration(inTimeShare*float64(route.objective)) {
-		return maxLossInTime
-	}
-	return loss
-}
