--- a/targetgate/limit_test.go
+++ b/targetgate/limit_test.go
@@ -163,6 +163,14 @@
 	g.work, g.coldRate = 20*ms, 0
 	g.runFor(5 * time.Second)
 	require.InEpsilon(t, before, g.gate.MeanDuration(g.now), 0.06)
+	before = g.gate.MeanDuration(g.now)
+	g.gap, g.work = 200*ms, 1500*ms
+	g.runFor(600 * ms)
+	g.work = 20 * ms
+	g.runFor(1200 * ms)
+	require.Equal(t, before, g.gate.MeanDuration(g.now), "responses after a second are failures")
+	g.gap = 40 * ms
+	g.runFor(5 * time.Second)
 	for range 2 { // their responses never come
 		g.open()
 	}
