--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -18,6 +19,7 @@
 	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/forward"
 	"github.com/cowslipward/cowslipward/internal/logsink"
+	"github.com/cowslipward/cowslipward/loadcontrol"
 	"github.com/cowslipward/cowslipward/platform/platformtest"
 )
 
@@ -27,7 +29,9 @@
 	outboundPort    = 17502
 	targetPort      = 17503
 	requestDeadline = 4 * time.Second
-	allLines        = 1e6 // lines of log a second, more than any test writes
+	// defaultServiceTime is the time that one request occupies a slot of a target.
+	defaultServiceTime = 5 * time.Millisecond
+	allLines           = 1e6 // lines of log a second, more than any test writes
 )
 
 var serviceAddress = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
@@ -45,6 +49,9 @@
 	outcomes  *burn.Recorder[string]
 	decisions *decisionCounter
 
+	loadControl  loadcontrol.Settings
+	serviceTimes map[int]time.Duration // of targets, if they differ from defaultServiceTime
+
 	directoryMu sync.Mutex // guards directory and revision; ConfirmView reads the view in its own goroutine
 
 	mu      sync.Mutex
@@ -101,7 +108,11 @@
 }
 
 func newTestbed(t *testing.T, balancers, targets int) *testbed {
-	b := &testbed{t: t, ledger: platformtest.NewLedger(), directory: directory.New(), outcomes: burn.NewRecorder[string](nil), decisions: newDecisionCounter()}
+	return newTestbedWith(t, loadcontrol.Settings{}, nil, balancers, targets)
+}
+
+func newTestbedWith(t *testing.T, s loadcontrol.Settings, serviceTimes map[int]time.Duration, balancers, targets int) *testbed {
+	b := &testbed{loadControl: s, serviceTimes: serviceTimes, t: t, ledger: platformtest.NewLedger(), directory: directory.New(), outcomes: burn.NewRecorder[string](nil), decisions: newDecisionCounter()}
 	b.routing = func(flow.Key) int { return 0 }
 	b.giveRoute(1, "bench")
 	for n := range targets {
@@ -183,6 +194,7 @@
 		Log:         slog.New(b.decisions),
 		Sampler:     logsink.NewSampler(allLines),
 		Outcomes:    b.outcomes,
+		LoadControl: b.loadControl,
 		ConfirmView: func() { go func() { balancer.SetView(b.view(), balancer.Now()) }() },
 	})
 	require.NoError(b.t, err)
@@ -203,6 +215,8 @@
 		Log:        slog.New(slog.DiscardHandler),
 		Sampler:    logsink.NewSampler(1),
 		Outcomes:   b.outcomes,
+
+		LoadControl: b.loadControl,
 	})
 	require.NoError(b.t, err)
 	go agent.Run()
@@ -213,7 +227,7 @@
 func (b *testbed) startTarget(n int) { b.startTargetOf("bench", n) }
 
 func (b *testbed) startTargetOf(service string, n int) {
-	c := platformtest.TargetConfig{ID: fmt.Sprintf("i-%d", n), Service: service, Domain: "a", Slots: 4, ServiceTime: 5 * time.Millisecond}
+	c := platformtest.TargetConfig{ID: fmt.Sprintf("i-%d", n), Service: service, Domain: "a", Slots: 4, ServiceTime: cmp.Or(b.serviceTimes[n], defaultServiceTime)}
 	target, err := platformtest.NewTarget(c, addressOf(2, n, targetPort), addressOf(2, n, outboundPort), b.ledger)
 	require.NoError(b.t, err)
 	b.t.Cleanup(target.Close)
