--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -18,6 +19,7 @@
 	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/forward"
 	"github.com/cowslipward/cowslipward/internal/logsink"
+	"github.com/cowslipward/cowslipward/loadcontrol"
 	"github.com/cowslipward/cowslipward/platform/platformtest"
 )
 
@@ -27,7 +29,9 @@
 	outboundPort    = 17502
 	targetPort      = 17503
 	requestDeadline = 4 * time.Second
-	allLines        = 1e6 // lines of log a second, more than any test writes
+	// defaultServiceTime is the time that one request occupies a slot of a target.
+	defaultServiceTime = 5 * time.Millisecond
+	allLines           = 1e6 // lines of log a second, more than any test writes
 )
 
 var serviceAddress = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
@@ -45,8 +49,10 @@
 	outcomes  *burn.Recorder[string]
 	decisions *decisionCounter
 
-	resetEndedFlows bool          // of the agents
-	serviceTime     time.Duration // of the targets
+	resetEndedFlows bool // of the agents
+	loadControl     loadcontrol.Settings
+	serviceTime     time.Duration         // of the targets
+	serviceTimes    map[int]time.Duration // of targets that differ from serviceTime
 
 	directoryMu sync.Mutex // guards directory and revision; ConfirmView reads the view in its own goroutine
 
@@ -105,7 +111,7 @@
 }
 
 func newTestbed(t *testing.T, balancers, targets int, options ...func(*testbed)) *testbed {
-	b := &testbed{t: t, ledger: platformtest.NewLedger(), directory: directory.New(), outcomes: burn.NewRecorder[string](nil), decisions: newDecisionCounter(), serviceTime: 5 * time.Millisecond}
+	b := &testbed{t: t, ledger: platformtest.NewLedger(), directory: directory.New(), outcomes: burn.NewRecorder[string](nil), decisions: newDecisionCounter(), serviceTime: defaultServiceTime}
 	for _, option := range options {
 		option(b)
 	}
@@ -200,6 +206,7 @@
 		Log:         slog.New(b.decisions),
 		Sampler:     logsink.NewSampler(allLines),
 		Outcomes:    b.outcomes,
+		LoadControl: b.loadControl,
 		ConfirmView: func() { go func() { balancer.SetView(b.view(), balancer.Now()) }() },
 	})
 	require.NoError(b.t, err)
@@ -222,6 +229,7 @@
 		Outcomes:   b.outcomes,
 
 		ResetEndedFlows: b.resetEndedFlows,
+		LoadControl:     b.loadControl,
 	})
 	require.NoError(b.t, err)
 	go agent.Run()
@@ -232,7 +240,7 @@
 func (b *testbed) startTarget(n int) { b.startTargetOf("bench", n) }
 
 func (b *testbed) startTargetOf(service string, n int) {
-	c := platformtest.TargetConfig{ID: fmt.Sprintf("i-%d", n), Service: service, Domain: "a", Slots: 4, ServiceTime: b.serviceTime}
+	c := platformtest.TargetConfig{ID: fmt.Sprintf("i-%d", n), Service: service, Domain: "a", Slots: 4, ServiceTime: cmp.Or(b.serviceTimes[n], b.serviceTime)}
 	target, err := platformtest.NewTarget(c, addressOf(2, n, targetPort), addressOf(2, n, outboundPort), b.ledger)
 	require.NoError(b.t, err)
 	b.t.Cleanup(target.Close)
