--- a/targetgate/ended.go
+++ b/targetgate/ended.go
@@ -9,13 +9,15 @@
 )
 
 const (
-	// confirmAfter is the minimum time between the two proofs that a target has lost its flows. A target that runs
+	// confirmAfter is the minimum time between two proofs that a target has lost its flows. A target that runs
 	// contradicts the first proof in the meantime by any packet of a flow that it still has.
 	confirmAfter = 100 * time.Millisecond
-	// proofLifetime is how long the first proof is valid.
-	proofLifetime = time.Second
+	// confirmUnaskedAfter is the same for refused probes if the target has answered all SYNs. A target that shuts down
+	// may close its port before it has answered all requests, and sends nothing while it works on a long one.
+	confirmUnaskedAfter = 300 * time.Millisecond
 	// maxProofAge is the age of the target's last packet of a flow up to which the return of another packet of the
-	// flow is a proof. Targets may close flows that have been idle for longer.
+	// flow is a proof. Targets may close flows that have been idle for longer. It also bounds the time between two
+	// proofs.
 	maxProofAge = time.Second
 )
 
@@ -24,7 +26,7 @@
 
 // Causes of the end of flows.
 const (
-	CauseTargetDown      EndCause = iota // the target's port refused two connections
+	CauseTargetDown      EndCause = iota // the target's port refuses connections, and the target sends nothing
 	CauseTargetRestarted                 // the target returned packets of flows that it owned
 )
 
@@ -52,15 +54,14 @@
 	flagTargetFin                           // the target sent a FIN
 	flagCallerReset                         // the caller reset the flow
 	flagAnswered                            // the target has sent data
-	flagWaitingAtProof                      // a request was queued at the first proof
-	flagHeldAtProof                         // the target had a request at the first proof
+	flagWaitingAtProof                      // a request was in progress or queued at a proof
+	flagHeldAtProof                         // the target had had a request for restartGrace at a proof
 )
 
 // lossProofs collects the proofs that the target has lost its flows. The zero value collects none.
 type lossProofs struct {
 	enabled   bool
 	refusedAt time.Duration // start of the first of successive refused probes; 0: none
-	downKnown bool          // the flows of the target that refuses probes have been ended
 
 	firstAt time.Duration // when the first proof was found; 0: none
 	refused bool          // the first proof was a refused probe
@@ -93,8 +94,9 @@
 }
 
 // RecordRefusal records that the target's port refused a connection attempt that started at a time. The flows of the
-// target have ended with the second refusal, unless the target sent a packet after the start of the first. It returns
-// when to probe again, or 0 if there is no need. It has to precede RecordProbe, which ends all requests.
+// target have ended if it has refused all probes for confirmAfter, left a SYN unanswered and sent nothing else. If it
+// owes no answer to a SYN, they have ended after confirmUnaskedAfter. RecordRefusal returns when to probe again, or 0
+// if there is no need. It has to precede RecordProbe, which ends all requests.
 func (g *Gate) RecordRefusal(startedAt, now time.Duration) (probeAfter time.Duration) {
 	l := &g.loss
 	switch {
@@ -104,16 +106,24 @@
 		l.refusedAt = 0 // the target may have stopped after this probe began; the next one is the first proof
 		return confirmAfter
 	case l.refusedAt == 0 || g.lastPacket >= l.refusedAt:
-		l.refusedAt, l.downKnown = startedAt, false
-		g.suspectLoss(startedAt, startedAt-1, true, now)
+		l.refusedAt = startedAt
+		g.suspectLoss(startedAt, startedAt-1, true)
+		g.markRequests(now)
 		return confirmAfter
-	case startedAt-l.refusedAt < confirmAfter:
+	case startedAt-l.refusedAt < g.refusalTime():
 		return confirmAfter
-	case !l.downKnown:
-		l.downKnown = true
+	default:
 		g.endFlows(l.refusedAt-1, CauseTargetDown)
+		return 0
+	}
+}
+
+// refusalTime returns the time for which the target has to refuse probes until its flows have ended.
+func (g *Gate) refusalTime() time.Duration {
+	if g.lastAccept > g.lastPacket {
+		return confirmAfter
 	}
-	return 0
+	return confirmUnaskedAfter
 }
 
 // RecordNoRefusal records that a probe was not refused, so that the next refusal is a first proof.
@@ -122,15 +132,18 @@
 // recordDisowned considers whether a packet that the target returned proves that the target has restarted.
 func (g *Gate) recordDisowned(s *flowState, now time.Duration) {
 	l := &g.loss
-	if !l.enabled || !s.provesLoss(now) {
+	if !l.enabled {
 		return
 	}
-	isFirst := l.firstAt == 0 || now-l.firstAt > proofLifetime || s.lastPacket >= l.firstAt ||
-		(l.aliveSince != 0 && s.lastPacket >= l.aliveSince)
-	owed := s.owesResponse(now)
+	g.markRequests(now) // the return may end the requests in progress
+	if !s.provesLoss(now) {
+		return
+	}
+	isFirst := l.firstAt == 0 || s.lastPacket >= l.firstAt || (l.aliveSince != 0 && s.lastPacket >= l.aliveSince)
+	owed := s.owesResponse()
 	switch {
 	case isFirst && owed:
-		g.suspectLoss(now, s.lastPacket, false, now)
+		g.suspectLoss(now, s.lastPacket, false)
 	case isFirst || (!owed && !l.refused):
 		// A target may close a flow that it has answered by rules of its own.
 	default:
@@ -141,9 +154,14 @@
 	}
 }
 
-// suspectLoss records the first proof, and which flows have a request at this time.
-func (g *Gate) suspectLoss(at, ownedUntil time.Duration, refused bool, now time.Duration) {
-	g.loss.firstAt, g.loss.ownedUntil, g.loss.refused, g.loss.aliveSince = at, ownedUntil, refused, 0
+// suspectLoss records the first proof.
+func (g *Gate) suspectLoss(at, ownedUntil time.Duration, refused bool) {
+	l := &g.loss
+	l.firstAt, l.ownedUntil, l.refused, l.aliveSince = at, ownedUntil, refused, 0
+}
+
+// markRequests marks the flows that have a request when a proof is found.
+func (g *Gate) markRequests(now time.Duration) {
 	for _, s := range g.inProgress {
 		if now-s.since >= restartGrace {
 			s.endFlags |= flagHeldAtProof
@@ -207,7 +225,7 @@
 	return s.endFlags&flagCallerAcked != 0 && (s.confirmed || s.endFlags&flagOpened != 0)
 }
 
-// isWaiting reports whether the caller waits for a response, or did at the first proof.
+// isWaiting reports whether the caller waits for a response, or did at a proof.
 func (s *flowState) isWaiting() bool {
 	return s.phase == requestQueued || s.phase == requestInProgress || s.endFlags&flagWaitingAtProof != 0
 }
@@ -235,11 +253,10 @@
 	return s.isOwned() && s.endFlags&closed == 0 && now-s.lastPacket < maxProofAge
 }
 
-// owesResponse reports whether the target had a reason to keep the flow: it has not answered on it yet, or it has had
-// a request for longer than restartGrace.
-func (s *flowState) owesResponse(now time.Duration) bool {
-	held := s.phase == requestInProgress && now-s.since >= restartGrace
-	return held || s.endFlags&flagHeldAtProof != 0 || s.endFlags&flagAnswered == 0
+// owesResponse reports whether the target had a reason to keep the flow: it has not answered on it yet, or has had a
+// request for longer than restartGrace.
+func (s *flowState) owesResponse() bool {
+	return s.endFlags&flagHeldAtProof != 0 || s.endFlags&flagAnswered == 0
 }
 
 // endFlows ends the flows that the target owned and of which it has sent no packet after a time.
