--- a/forward/agent.go
+++ b/forward/agent.go
@@ -122,6 +122,9 @@
 		readLoop(a.outbound, func(d []byte, _ flow.Endpoint) { a.handleTargetDatagram(out, d) }, out.flush, a.config.Log)
 	})
 	group.Go(a.sendReports)
+	if a.config.ResetEndedFlows {
+		group.Go(a.watchTarget)
+	}
 	group.Wait()
 }
 
--- a/forward/agent_probe.go
+++ b/forward/agent_probe.go
@@ -29,16 +29,25 @@
 	if a.gate.Down() {
 		interval = downProbeInterval
 	}
-	if a.probing || now-a.lastProbe < interval || (!a.gate.Down() && !a.gate.Suspect(now)) {
-		return
+	switch {
+	case a.probing:
+	case now-a.lastProbe >= interval && (a.gate.Down() || a.gate.Suspect(now)):
+		a.lastProbe = now
+		a.startProbe(now, false)
+	case !a.gate.Down() && a.needsCrashProbe(now):
+		a.startProbe(now, true)
 	}
-	a.probing, a.lastProbe = true, now
-	go a.probe(now)
+}
+
+func (a *Agent) startProbe(now time.Duration, crashOnly bool) {
+	a.probing = true
+	go a.probe(now, crashOnly)
 }
 
 // probe connects to the target's address to find out whether the target runs. Only a refused or reset
-// connection shows that it does not: a timeout may also mean that it is slow.
-func (a *Agent) probe(startedAt time.Duration) {
+// connection shows that it does not: a timeout may also mean that it is slow. With crashOnly, the probe has no effect if
+// the connection is not refused.
+func (a *Agent) probe(startedAt time.Duration, crashOnly bool) {
 	dialer := net.Dialer{Timeout: probeTimeout, LocalAddr: &net.TCPAddr{IP: a.config.Target.Addr().AsSlice()}}
 	conn, err := dialer.Dial("tcp4", a.config.Target.String())
 	if err == nil {
@@ -52,6 +61,9 @@
 	now := a.clock.now()
 	wasDown := a.gate.Down()
 	a.recordRefusal(err, startedAt, now)
+	if crashOnly && !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
 	if err == nil || refused {
 		a.gate.RecordProbe(!refused, now)
 	}
--- a/forward/agent_resets.go
+++ b/forward/agent_resets.go
@@ -18,10 +18,13 @@
 	// resets a second, because the callers of all of them retry at once.
 	resetInterval  = 20 * time.Millisecond
 	resetsPerBatch = 40
+	// watchInterval is how often the agent checks whether a probe is due while no packets arrive.
+	watchInterval = 50 * time.Millisecond
 )
 
 // endedFlows holds the flows whose callers are to be told that the target has lost them.
 type endedFlows struct {
+	lastProbe  time.Duration // start of the last probe for needsCrashProbe
 	pending    []targetgate.EndedFlow
 	lastBatch  time.Duration
 	timerArmed bool
@@ -37,6 +40,32 @@
 	skipped int // flows that were opened again in the meantime
 }
 
+// watchTarget probes the target whenever that is due, until Close is called.
+func (a *Agent) watchTarget() {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-a.closed:
+			return
+		case <-ticker.C:
+		}
+		a.mu.Lock()
+		a.probeIfSuspect(a.clock.now())
+		a.mu.Unlock()
+	}
+}
+
+// needsCrashProbe reports whether a probe should find out now whether the target has crashed. Other probes of a target
+// that responds to probes only are suspectProbeInterval apart, since each of them makes the target count as responsive.
+func (a *Agent) needsCrashProbe(now time.Duration) bool {
+	if now-a.ended.lastProbe < downProbeInterval || !a.gate.SuspectsCrash(now) {
+		return false
+	}
+	a.ended.lastProbe = now
+	return true
+}
+
 // recordRefusal passes the refusal of a probe to the gate, and schedules the next probe if the gate needs another one
 // as proof. A connection that is reset after it was established was accepted by a listener with a full backlog, so that
 // only a refused connection counts. a.mu must be held.
@@ -48,17 +77,20 @@
 		a.gate.RecordNoRefusal()
 		return
 	}
+	a.lastProbe = startedAt
 	if probeAfter := a.gate.RecordRefusal(startedAt, now); probeAfter > 0 {
 		time.AfterFunc(probeAfter, a.confirmRefusal)
 	}
 	a.resetEndedFlows(now)
 }
 
+// confirmRefusal probes the target again unless it has sent a packet since the last refusal.
 func (a *Agent) confirmRefusal() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.isClosed() {
-		a.probeIfSuspect(a.clock.now())
+	if now := a.clock.now(); a.gate.Down() && !a.probing && !a.isClosed() {
+		a.lastProbe = now
+		a.startProbe(now, false)
 	}
 }
 
--- a/targetgate/ended.go
+++ b/targetgate/ended.go
@@ -8,19 +8,6 @@
 	"github.com/cowslipward/cowslipward/flow"
 )
 
-const (
-	// confirmAfter is the minimum time between two proofs that a target has lost its flows. A target that runs
-	// contradicts the first proof in the meantime by any packet of a flow that it still has.
-	confirmAfter = 100 * time.Millisecond
-	// confirmUnaskedAfter is the same for refused probes if the target has answered all SYNs. A target that shuts down
-	// may close its port before it has answered all requests, and sends nothing while it works on a long one.
-	confirmUnaskedAfter = 300 * time.Millisecond
-	// maxProofAge is the age of the target's last packet of a flow up to which the return of another packet of the
-	// flow is a proof. Targets may close flows that have been idle for longer. It also bounds the time between two
-	// proofs.
-	maxProofAge = time.Second
-)
-
 // EndCause is the reason why flows have certainly ended.
 type EndCause uint8
 
@@ -58,23 +45,6 @@
 	flagHeldAtProof                         // the target had had a request for restartGrace at a proof
 )
 
-// lossProofs collects the proofs that the target has lost its flows. The zero value collects none.
-type lossProofs struct {
-	enabled   bool
-	refusedAt time.Duration // start of the first of successive refused probes; 0: none
-
-	firstAt time.Duration // when the first proof was found; 0: none
-	refused bool          // the first proof was a refused probe
-	// ownedUntil is the latest time at which the target had a flow that it has lost since. Flows without a packet
-	// of the target after that time are lost if the target has restarted.
-	ownedUntil time.Duration
-	// aliveSince is the earliest last packet before firstAt of a flow that the target has proved to own since then;
-	// 0: none. Flows with a packet at that time or later belong to the running process.
-	aliveSince time.Duration
-
-	ended []EndedFlow
-}
-
 // ReportEndedFlows makes the gate collect the flows that its target has certainly lost, for TakeEnded.
 func (g *Gate) ReportEndedFlows() { g.loss.enabled = true }
 
@@ -93,88 +63,6 @@
 	return found && (s.phase == requestOpening || s.synAcked || s.confirmed)
 }
 
-// RecordRefusal records that the target's port refused a connection attempt that started at a time. The flows of the
-// target have ended if it has refused all probes for confirmAfter, left a SYN unanswered and sent nothing else. If it
-// owes no answer to a SYN, they have ended after confirmUnaskedAfter. RecordRefusal returns when to probe again, or 0
-// if there is no need. It has to precede RecordProbe, which ends all requests.
-func (g *Gate) RecordRefusal(startedAt, now time.Duration) (probeAfter time.Duration) {
-	l := &g.loss
-	switch {
-	case !l.enabled:
-		return 0
-	case g.lastPacket >= startedAt:
-		l.refusedAt = 0 // the target may have stopped after this probe began; the next one is the first proof
-		return confirmAfter
-	case l.refusedAt == 0 || g.lastPacket >= l.refusedAt:
-		l.refusedAt = startedAt
-		g.suspectLoss(startedAt, startedAt-1, true)
-		g.markRequests(now)
-		return confirmAfter
-	case startedAt-l.refusedAt < g.refusalTime():
-		return confirmAfter
-	default:
-		g.endFlows(l.refusedAt-1, CauseTargetDown)
-		return 0
-	}
-}
-
-// refusalTime returns the time for which the target has to refuse probes until its flows have ended.
-func (g *Gate) refusalTime() time.Duration {
-	if g.lastAccept > g.lastPacket {
-		return confirmAfter
-	}
-	return confirmUnaskedAfter
-}
-
-// RecordNoRefusal records that a probe was not refused, so that the next refusal is a first proof.
-func (g *Gate) RecordNoRefusal() { g.loss.refusedAt = 0 }
-
-// recordDisowned considers whether a packet that the target returned proves that the target has restarted.
-func (g *Gate) recordDisowned(s *flowState, now time.Duration) {
-	l := &g.loss
-	if !l.enabled {
-		return
-	}
-	g.markRequests(now) // the return may end the requests in progress
-	if !s.provesLoss(now) {
-		return
-	}
-	isFirst := l.firstAt == 0 || s.lastPacket >= l.firstAt || (l.aliveSince != 0 && s.lastPacket >= l.aliveSince)
-	owed := s.owesResponse()
-	switch {
-	case isFirst && owed:
-		g.suspectLoss(now, s.lastPacket, false)
-	case isFirst || (!owed && !l.refused):
-		// A target may close a flow that it has answered by rules of its own.
-	default:
-		l.ownedUntil = max(l.ownedUntil, s.lastPacket)
-		if now-l.firstAt >= confirmAfter {
-			g.endFlows(l.ownedUntil, CauseTargetRestarted)
-		}
-	}
-}
-
-// suspectLoss records the first proof.
-func (g *Gate) suspectLoss(at, ownedUntil time.Duration, refused bool) {
-	l := &g.loss
-	l.firstAt, l.ownedUntil, l.refused, l.aliveSince = at, ownedUntil, refused, 0
-}
-
-// markRequests marks the flows that have a request when a proof is found.
-func (g *Gate) markRequests(now time.Duration) {
-	for _, s := range g.inProgress {
-		if now-s.since >= restartGrace {
-			s.endFlags |= flagHeldAtProof
-		}
-		s.endFlags |= flagWaitingAtProof
-	}
-	for i := range g.requestQueue.items {
-		if s, found := g.flows.Get(g.requestQueue.items[i].key, now); found && s.phase == requestQueued {
-			s.endFlags |= flagWaitingAtProof
-		}
-	}
-}
-
 // recordOwned records a packet that the target sent of a flow. It contradicts a proof of loss if the target had the
 // flow before. It has to precede the update of the flow's lastPacket.
 func (g *Gate) recordOwned(s *flowState, p *flow.Packet) {
@@ -246,19 +134,6 @@
 	}
 }
 
-// provesLoss reports whether the return of a packet of the flow is a proof that the target has lost flows: it owned
-// the flow a moment ago, and neither side has closed it.
-func (s *flowState) provesLoss(now time.Duration) bool {
-	const closed = flagCallerFin | flagTargetFin | flagCallerReset
-	return s.isOwned() && s.endFlags&closed == 0 && now-s.lastPacket < maxProofAge
-}
-
-// owesResponse reports whether the target had a reason to keep the flow: it has not answered on it yet, or has had a
-// request for longer than restartGrace.
-func (s *flowState) owesResponse() bool {
-	return s.endFlags&flagHeldAtProof != 0 || s.endFlags&flagAnswered == 0
-}
-
 // endFlows ends the flows that the target owned and of which it has sent no packet after a time.
 func (g *Gate) endFlows(until time.Duration, cause EndCause) {
 	g.flows.Each(func(key flow.Key, s *flowState) bool {
