Agent: no proofs of lost flows across a pause of the agent itself

The time between two proofs is for packets of the target that contradict the first. If the agent was paused in between, they may be unread. Proofs are void if two checks of the agent, due every 50 ms, were more than 100 ms apart.

--- a/forward/agent.go
+++ b/forward/agent.go
@@ -244,6 +244,7 @@
 		return
 	}
 	key := p.KeyFromCaller()
+	a.voidProofsAfterPause(now)
 	a.gate.RecordReturn(key, now)
 	a.resetEndedFlows(now)
 	search := searchKey{flow: key, balancer: sender}
--- a/forward/agent_resets.go
+++ b/forward/agent_resets.go
@@ -20,11 +20,14 @@
 	resetsPerBatch = 40
 	// watchInterval is how often the agent checks whether a probe is due while no packets arrive.
 	watchInterval = 50 * time.Millisecond
+	// maxWatchGap is the time between two checks above which the agent was paused.
+	maxWatchGap = 2 * watchInterval
 )
 
 // endedFlows holds the flows whose callers are to be told that the target has lost them.
 type endedFlows struct {
 	lastProbe  time.Duration // start of the last probe for needsCrashProbe
+	lastWatch  time.Duration // when watchTarget last checked the target
 	pending    []targetgate.EndedFlow
 	lastBatch  time.Duration
 	timerArmed bool
@@ -51,11 +54,22 @@
 		case <-ticker.C:
 		}
 		a.mu.Lock()
-		a.probeIfSuspect(a.clock.now())
+		now := a.clock.now()
+		a.voidProofsAfterPause(now)
+		a.ended.lastWatch = now
+		a.probeIfSuspect(now)
 		a.mu.Unlock()
 	}
 }
 
+// voidProofsAfterPause discards the first proofs if this process was paused: the time until the second one is for packets
+// of the target that contradict the first, and these may not have been read yet. a.mu must be held.
+func (a *Agent) voidProofsAfterPause(now time.Duration) {
+	if now-a.ended.lastWatch > maxWatchGap {
+		a.gate.VoidProofs()
+	}
+}
+
 // needsCrashProbe reports whether a probe should find out now whether the target has crashed. Other probes of a target
 // that responds to probes only are suspectProbeInterval apart, since each of them makes the target count as responsive.
 func (a *Agent) needsCrashProbe(now time.Duration) bool {
@@ -78,6 +92,7 @@
 		return
 	}
 	a.lastProbe = startedAt
+	a.voidProofsAfterPause(now)
 	if probeAfter := a.gate.RecordRefusal(startedAt, now); probeAfter > 0 {
 		time.AfterFunc(probeAfter, a.confirmRefusal)
 	}
--- a/forward/agent_resets_internal_test.go
+++ b/forward/agent_resets_internal_test.go
@@ -67,7 +67,7 @@
 }
 
 // Guards against a listener with a full backlog that is taken for a target that does not run: it accepts connections
-// and resets them.
+// and resets them. Guards against proofs while packets of the target are unread after a pause of the agent, too.
 func TestOnlyRefusedConnectionsAreProofs(t *testing.T) {
 	for result, proves := range map[error]bool{syscall.ECONNREFUSED: true, syscall.ECONNRESET: false, syscall.ETIMEDOUT: false} {
 		agent, _ := resettingAgent(t)
@@ -78,6 +78,12 @@
 		agent.gate.FromCaller(key, &flow.Packet{AckFlag: true, Ack: 1, DataLen: 10}, flow.Endpoint{}, time.Second)
 		for at := 2 * time.Second; at < 3*time.Second; at += downProbeInterval {
 			agent.recordRefusal(result, at, at)
+			agent.ended.lastWatch = at - maxWatchGap // each time, the process was paused
+		}
+		require.Zero(t, agent.ended.lastBatch, result)
+		for at := 3 * time.Second; at < 4*time.Second; at += downProbeInterval {
+			agent.ended.lastWatch = at
+			agent.recordRefusal(result, at, at)
 		}
 		require.Equal(t, proves, agent.ended.lastBatch != 0, result)
 		agent.mu.Unlock()
--- a/targetgate/ended.go
+++ b/targetgate/ended.go
@@ -80,7 +80,7 @@
 	switch {
 	case l.firstAt == 0 || s.lastPacket >= l.firstAt:
 	case s.lastPacket <= l.ownedUntil:
-		l.firstAt, l.refusedAt = 0, 0
+		g.VoidProofs()
 	case l.aliveSince == 0 || s.lastPacket < l.aliveSince:
 		l.aliveSince = s.lastPacket
 	}
--- a/targetgate/lossproofs.go
+++ b/targetgate/lossproofs.go
@@ -111,6 +111,9 @@
 // RecordNoRefusal records that a probe was not refused, so that the next refusal is a first proof.
 func (g *Gate) RecordNoRefusal() { g.loss.refusedAt = 0 }
 
+// VoidProofs discards the first proofs, because packets of the target that contradict them may not have been read.
+func (g *Gate) VoidProofs() { g.loss.firstAt, g.loss.refusedAt = 0, 0 }
+
 // recordDisowned considers whether a packet that the target returned proves that the target has restarted.
 func (g *Gate) recordDisowned(s *flowState, now time.Duration) {
 	l := &g.loss
