--- a/forward/agent.go
+++ b/forward/agent.go
@@ -125,6 +125,9 @@
 		readLoop(a.outbound, func(d []byte, _ flow.Endpoint) { a.handleTargetDatagram(out, d) }, out.flush, a.config.Log)
 	})
 	group.Go(a.sendReports)
+	if a.config.ResetEndedFlows {
+		group.Go(a.watchTarget)
+	}
 	group.Wait()
 }
 
@@ -251,6 +254,7 @@
 		return
 	}
 	key := p.KeyFromCaller()
+	a.voidProofsAfterPause(now)
 	a.gate.RecordReturn(key, now)
 	a.resetEndedFlows(now)
 	search := searchKey{flow: key, balancer: sender}
--- a/forward/agent_resets.go
+++ b/forward/agent_resets.go
@@ -18,10 +18,16 @@
 	// resets a second, because the callers of all of them retry at once.
 	resetInterval  = 20 * time.Millisecond
 	resetsPerBatch = 40
+	// watchInterval is how often the agent checks whether a probe is due while no packets arrive.
+	watchInterval = 50 * time.Millisecond
+	// maxWatchGap is the time between two checks above which the agent was paused.
+	maxWatchGap = 2 * watchInterval
 )
 
 // endedFlows holds the flows whose callers are to be told that the target has lost them.
 type endedFlows struct {
+	lastProbe  time.Duration // start of the last probe for needsCrashProbe
+	lastWatch  time.Duration // when watchTarget last checked the target
 	pending    []targetgate.EndedFlow
 	lastBatch  time.Duration
 	timerArmed bool
@@ -37,6 +43,43 @@
 	skipped int // flows that were opened again in the meantime
 }
 
+// watchTarget probes the target whenever that is due, until Close is called.
+func (a *Agent) watchTarget() {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-a.closed:
+			return
+		case <-ticker.C:
+		}
+		a.mu.Lock()
+		now := a.clock.now()
+		a.voidProofsAfterPause(now)
+		a.ended.lastWatch = now
+		a.probeIfSuspect(now)
+		a.mu.Unlock()
+	}
+}
+
+// voidProofsAfterPause discards the first proofs if this process was paused: the time until the second one is for packets
+// of the target that contradict the first, and these may not have been read yet. a.mu must be held.
+func (a *Agent) voidProofsAfterPause(now time.Duration) {
+	if now-a.ended.lastWatch > maxWatchGap {
+		a.gate.VoidProofs()
+	}
+}
+
+// needsCrashProbe reports whether a probe should find out now whether the target has crashed. Other probes of a target
+// that responds to probes only are suspectProbeInterval apart, since each of them makes the target count as responsive.
+func (a *Agent) needsCrashProbe(now time.Duration) bool {
+	if now-a.ended.lastProbe < downProbeInterval || !a.gate.SuspectsCrash(now) {
+		return false
+	}
+	a.ended.lastProbe = now
+	return true
+}
+
 // recordRefusal passes the refusal of a probe to the gate, and schedules the next probe if the gate needs another one
 // as proof. A connection that is reset after it was established was accepted by a listener with a full backlog, so that
 // only a refused connection counts. a.mu must be held.
@@ -48,17 +91,21 @@
 		a.gate.RecordNoRefusal()
 		return
 	}
+	a.lastProbe = startedAt
+	a.voidProofsAfterPause(now)
 	if probeAfter := a.gate.RecordRefusal(startedAt, now); probeAfter > 0 {
 		time.AfterFunc(probeAfter, a.confirmRefusal)
 	}
 	a.resetEndedFlows(now)
 }
 
+// confirmRefusal probes the target again unless it has sent a packet since the last refusal.
 func (a *Agent) confirmRefusal() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.isClosed() {
-		a.probeIfSuspect(a.clock.now())
+	if now := a.clock.now(); a.gate.Down() && !a.probing && !a.isClosed() {
+		a.lastProbe = now
+		a.startProbe(now, false)
 	}
 }
 
--- a/targetgate/ended.go
+++ b/targetgate/ended.go
@@ -8,23 +8,12 @@
 	"github.com/cowslipward/cowslipward/flow"
 )
 
-const (
-	// confirmAfter is the minimum time between the two proofs that a target has lost its flows. A target that runs
-	// contradicts the first proof in the meantime by any packet of a flow that it still has.
-	confirmAfter = 100 * time.Millisecond
-	// proofLifetime is how long the first proof is valid.
-	proofLifetime = time.Second
-	// maxProofAge is the age of the target's last packet of a flow up to which the return of another packet of the
-	// flow is a proof. Targets may close flows that have been idle for longer.
-	maxProofAge = time.Second
-)
-
 // EndCause is the reason why flows have certainly ended.
 type EndCause uint8
 
 // Causes of the end of flows.
 const (
-	CauseTargetDown      EndCause = iota // the target's port refused two connections
+	CauseTargetDown      EndCause = iota // the target's port refuses connections, and the target sends nothing
 	CauseTargetRestarted                 // the target returned packets of flows that it owned
 )
 
@@ -52,28 +41,10 @@
 	flagTargetFin                           // the target sent a FIN
 	flagCallerReset                         // the caller reset the flow
 	flagAnswered                            // the target has sent data
-	flagWaitingAtProof                      // a request was queued at the first proof
-	flagHeldAtProof                         // the target had a request at the first proof
+	flagWaitingAtProof                      // a request was in progress or queued at a proof
+	flagHeldAtProof                         // the target had had a request for restartGrace at a proof
 )
 
-// lossProofs collects the proofs that the target has lost its flows. The zero value collects none.
-type lossProofs struct {
-	enabled   bool
-	refusedAt time.Duration // start of the first of successive refused probes; 0: none
-	downKnown bool          // the flows of the target that refuses probes have been ended
-
-	firstAt time.Duration // when the first proof was found; 0: none
-	refused bool          // the first proof was a refused probe
-	// ownedUntil is the latest time at which the target had a flow that it has lost since. Flows without a packet
-	// of the target after that time are lost if the target has restarted.
-	ownedUntil time.Duration
-	// aliveSince is the earliest last packet before firstAt of a flow that the target has proved to own since then;
-	// 0: none. Flows with a packet at that time or later belong to the running process.
-	aliveSince time.Duration
-
-	ended []EndedFlow
-}
-
 // ReportEndedFlows makes the gate collect the flows that its target has certainly lost, for TakeEnded.
 func (g *Gate) ReportEndedFlows() { g.loss.enabled = true }
 
@@ -92,71 +63,6 @@
 	return found && (s.phase == requestOpening || s.synAcked || s.confirmed)
 }
 
-// RecordRefusal records that the target's port refused a connection attempt that started at a time. The flows of the
-// target have ended with the second refusal, unless the target sent a packet after the start of the first. It returns
-// when to probe again, or 0 if there is no need. It has to precede RecordProbe, which ends all requests.
-func (g *Gate) RecordRefusal(startedAt, now time.Duration) (probeAfter time.Duration) {
-	l := &g.loss
-	switch {
-	case !l.enabled:
-		return 0
-	case g.lastPacket >= startedAt:
-		l.refusedAt = 0 // the target may have stopped after this probe began; the next one is the first proof
-		return confirmAfter
-	case l.refusedAt == 0 || g.lastPacket >= l.refusedAt:
-		l.refusedAt, l.downKnown = startedAt, false
-		g.suspectLoss(startedAt, startedAt-1, true, now)
-		return confirmAfter
-	case startedAt-l.refusedAt < confirmAfter:
-		return confirmAfter
-	case !l.downKnown:
-		l.downKnown = true
-		g.endFlows(l.refusedAt-1, CauseTargetDown)
-	}
-	return 0
-}
-
-// RecordNoRefusal records that a probe was not refused, so that the next refusal is a first proof.
-func (g *Gate) RecordNoRefusal() { g.loss.refusedAt = 0 }
-
-// recordDisowned considers whether a packet that the target returned proves that the target has restarted.
-func (g *Gate) recordDisowned(s *flowState, now time.Duration) {
-	l := &g.loss
-	if !l.enabled || !s.provesLoss(now) {
-		return
-	}
-	isFirst := l.firstAt == 0 || now-l.firstAt > proofLifetime || s.lastPacket >= l.firstAt ||
-		(l.aliveSince != 0 && s.lastPacket >= l.aliveSince)
-	owed := s.owesResponse(now)
-	switch {
-	case isFirst && owed:
-		g.suspectLoss(now, s.lastPacket, false, now)
-	case isFirst || (!owed && !l.refused):
-		// A target may close a flow that it has answered by rules of its own.
-	default:
-		l.ownedUntil = max(l.ownedUntil, s.lastPacket)
-		if now-l.firstAt >= confirmAfter {
-			g.endFlows(l.ownedUntil, CauseTargetRestarted)
-		}
-	}
-}
-
-// suspectLoss records the first proof, and which flows have a request at this time.
-func (g *Gate) suspectLoss(at, ownedUntil time.Duration, refused bool, now time.Duration) {
-	g.loss.firstAt, g.loss.ownedUntil, g.loss.refused, g.loss.aliveSince = at, ownedUntil, refused, 0
-	for _, s := range g.inProgress {
-		if now-s.since >= restartGrace {
-			s.endFlags |= flagHeldAtProof
-		}
-		s.endFlags |= flagWaitingAtProof
-	}
-	for i := range g.requestQueue.items {
-		if s, found := g.flows.Get(g.requestQueue.items[i].key, now); found && s.phase == requestQueued {
-			s.endFlags |= flagWaitingAtProof
-		}
-	}
-}
-
 // recordOwned records a packet that the target sent of a flow. It contradicts a proof of loss if the target had the
 // flow before. It has to precede the update of the flow's lastPacket.
 func (g *Gate) recordOwned(s *flowState, p *flow.Packet) {
@@ -174,7 +80,7 @@
 	switch {
 	case l.firstAt == 0 || s.lastPacket >= l.firstAt:
 	case s.lastPacket <= l.ownedUntil:
-		l.firstAt, l.refusedAt = 0, 0
+		g.VoidProofs()
 	case l.aliveSince == 0 || s.lastPacket < l.aliveSince:
 		l.aliveSince = s.lastPacket
 	}
@@ -207,7 +113,7 @@
 	return s.endFlags&flagCallerAcked != 0 && (s.confirmed || s.endFlags&flagOpened != 0)
 }
 
-// isWaiting reports whether the caller waits for a response, or did at the first proof.
+// isWaiting reports whether the caller waits for a response, or did at a proof.
 func (s *flowState) isWaiting() bool {
 	return s.phase == requestQueued || s.phase == requestInProgress || s.endFlags&flagWaitingAtProof != 0
 }
@@ -228,20 +134,6 @@
 	}
 }
 
-// provesLoss reports whether the return of a packet of the flow is a proof that the target has lost flows: it owned
-// the flow a moment ago, and neither side has closed it.
-func (s *flowState) provesLoss(now time.Duration) bool {
-	const closed = flagCallerFin | flagTargetFin | flagCallerReset
-	return s.isOwned() && s.endFlags&closed == 0 && now-s.lastPacket < maxProofAge
-}
-
-// owesResponse reports whether the target had a reason to keep the flow: it has not answered on it yet, or it has had
-// a request for longer than restartGrace.
-func (s *flowState) owesResponse(now time.Duration) bool {
-	held := s.phase == requestInProgress && now-s.since >= restartGrace
-	return held || s.endFlags&flagHeldAtProof != 0 || s.endFlags&flagAnswered == 0
-}
-
 // endFlows ends the flows that the target owned and of which it has sent no packet after a time.
 func (g *Gate) endFlows(until time.Duration, cause EndCause) {
 	g.flows.Each(func(key flow.Key, s *flowState) bool {
