--- a/targetgate/alternatives_internal_test.go
+++ b/targetgate/alternatives_internal_test.go
@@ -1,25 +1,27 @@
 package targetgate
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
 
-// The kinds of requests of the services balcao and ruteo in docs/design/overview.md.
+// balcaoKinds and ruteoKinds are the kinds of requests of two services in docs/design/overview.md.
 func balcaoKinds() []kind {
 	return []kind{
-		{name: "stock-lookup", share: 0.778, work: 30 * ms, objective: 300 * ms, deadline: 3 * time.Second, priority: 2, idempotent: true},
+		{name: "stock-lookup", share: 0.778, work: 30 * ms, objective: 300 * ms, deadline: 3 * time.Second, priority: 2},
 		{name: "reorder", share: 0.222, work: 39 * ms, objective: 300 * ms, deadline: 4 * time.Second, priority: 1},
 	}
 }
 
 func ruteoKinds() []kind {
 	return []kind{
-		{name: "bin-feed", share: 0.778, work: 13 * ms, objective: 200 * ms, deadline: 1200 * ms, priority: 2, idempotent: true, openFlows: 0.8},
+		{name: "bin-feed", share: 0.778, work: 13 * ms, objective: 200 * ms, deadline: 1200 * ms, priority: 2, openFlows: 0.6},
 		{name: "label-lookup", share: 0.222, work: 17 * ms, objective: 200 * ms, deadline: 1500 * ms, priority: 1},
 	}
 }
 
+// balcaoRun returns a burst of 7 s at 10 targets, followed by half of the capacity.
 func balcaoRun(factor float64, slots int, policy *shedPolicy) *overloadRun {
 	return &overloadRun{
 		seed: 1, kinds: balcaoKinds(), targets: 10, slots: slots, factor: factor, baseFactor: 0.5,
@@ -27,48 +29,103 @@
 	}
 }
 
+// ruteoRun returns the same for targets of unequal speed, requests on open flows and some that take 7 times as long.
+func ruteoRun(factor float64, policy *shedPolicy) *overloadRun {
+	r := balcaoRun(factor, 2, policy)
+	r.kinds, r.longShare = ruteoKinds(), 0.03
+	r.speeds = func(target int, _ time.Duration) float64 {
+		if target%4 == 0 {
+			return 0.55
+		}
+		return 1.2
+	}
+	return r
+}
+
+// coldRun returns the same for targets of which four are cold for 4 s: they are slow and get 5 flows a second.
+func coldRun(factor float64, policy *shedPolicy) *overloadRun {
+	r := balcaoRun(factor, 2, policy)
+	isCold := func(target int, at time.Duration) bool { return target < 4 && at < 4*time.Second }
+	r.speeds = func(target int, at time.Duration) float64 {
+		if isCold(target, at) {
+			return 0.25
+		}
+		return 1
+	}
+	r.coldRate = func(target int, at time.Duration) float64 {
+		if isCold(target, at) {
+			return 5
+		}
+		return 0
+	}
+	return r
+}
+
 func policyWith(change func(*shedPolicy)) *shedPolicy {
 	p := defaultShedPolicy()
 	change(&p)
 	return &p
 }
 
-// TestAlternatives prints how requests end under each alternative of docs/design/admission.md.
+func shedding() *shedPolicy { return policyWith(func(*shedPolicy) {}) }
+
+func arrivedBefore(w, other *waiter) bool { return w.arrived < other.arrived }
+
+func dueAfter(w, other *waiter) bool { return w.due() > other.due() }
+
+// alternatives are the policies that docs/design/admission.md compares.
+var alternatives = []struct {
+	name   string
+	policy *shedPolicy
+}{
+	{"off", nil},
+	{"first in first out, long queue", policyWith(func(p *shedPolicy) {
+		p.before, p.lateAlike, p.retriesAlike, p.waitShare, p.lateWaitShare = arrivedBefore, true, true, 8, 8
+	})},
+	{"first in first out, shed", policyWith(func(p *shedPolicy) { p.before, p.lateAlike, p.retriesAlike = arrivedBefore, true, true })},
+	{"newest first, shed", policyWith(func(p *shedPolicy) { p.before = dueAfter })},
+	{"deadline first, wait 1", policyWith(func(p *shedPolicy) { p.waitShare = 1 })},
+	{"deadline first, wait 1/2", policyWith(func(p *shedPolicy) { p.waitShare = 0.5 })},
+	{"deadline first, wait 1/3 (built)", shedding()},
+	{"deadline first, wait 1/4", policyWith(func(p *shedPolicy) { p.waitShare = 0.25 })},
+	{"share of late 0", policyWith(func(p *shedPolicy) { p.deferredShare = 0 })},
+	{"share of late 1/8", policyWith(func(p *shedPolicy) { p.deferredShare = 0.125 })},
+	{"share of late 1/4", policyWith(func(p *shedPolicy) { p.deferredShare = 0.25 })},
+	{"retries that can be in time alike", policyWith(func(p *shedPolicy) { p.retriesAlike = true })},
+}
+
+// TestAlternatives prints how requests end under each alternative of docs/design/admission.md. It checks nothing.
 func TestAlternatives(t *testing.T) {
-	alternatives := []struct {
-		name   string
-		policy *shedPolicy
-	}{
-		{"off", nil},
-		{"first in first out, 2.2 s", policyWith(func(p *shedPolicy) {
-			p.lateAlike, p.retriesAlike, p.waitShare, p.lateWaitShare = true, true, 8, 8
-			p.before = func(w, o *waiter) bool { return w.arrived < o.arrived }
-		})},
-		{"first in first out, shed", policyWith(func(p *shedPolicy) {
-			p.lateAlike, p.retriesAlike = true, true
-			p.before = func(w, o *waiter) bool { return w.arrived < o.arrived }
-		})},
-		{"newest first, shed", policyWith(func(p *shedPolicy) { p.before = func(w, o *waiter) bool { return w.due() > o.due() } })},
-		{"deadline first, wait 1.0", policyWith(func(p *shedPolicy) { p.waitShare = 1 })},
-		{"deadline first, wait 0.75", policyWith(func(p *shedPolicy) { p.waitShare = 0.75 })},
-		{"deadline first, wait 0.5", policyWith(func(p *shedPolicy) {})},
-		{"deadline first, wait 0.25", policyWith(func(p *shedPolicy) { p.waitShare = 0.25 })},
-		{"deferred share 0.01", policyWith(func(p *shedPolicy) { p.deferredShare = 0.01 })},
-		{"deferred share 0.25", policyWith(func(p *shedPolicy) { p.deferredShare = 0.25 })},
-		{"deferred share 0.5", policyWith(func(p *shedPolicy) { p.deferredShare = 0.5 })},
-		{"retries in time not deferred", policyWith(func(p *shedPolicy) { p.retriesAlike = true })},
-	}
 	if !testing.Verbose() {
 		t.Skip("prints a table with -v")
 	}
-	for _, factor := range []float64{0.9, 1.0, 1.2, 1.5, 2.0, 2.6} {
-		for _, alt := range alternatives {
-			run := balcaoRun(factor, 2, alt.policy)
-			requests := run.run()
-			o := count(requests, func(q *simRequest) bool { return q.sent < runStart+run.burst })
-			cap := run.capacity() * run.burst.Seconds()
-			t.Logf("%.1f %-28s in time %5d (%.2f of capacity) late %5d refused %5d failed %5d first %5d slowest %v",
-				factor, alt.name, o.inTime, float64(o.inTime)/cap, o.late, o.refused, o.failed, o.firstAttempts, o.slowestRefusal)
-		}
+	loads := map[string]func(float64, *shedPolicy) *overloadRun{
+		"balcao, 2 slots":               func(f float64, p *shedPolicy) *overloadRun { return balcaoRun(f, 2, p) },
+		"balcao, 9 slots":               func(f float64, p *shedPolicy) *overloadRun { return balcaoRun(f, 9, p) },
+		"balcao, 2 slots, cold targets": coldRun,
+		"ruteo, 2 slots":                ruteoRun,
+	}
+	for name, load := range loads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, factor := range []float64{0.9, 1.0, 1.2, 1.5, 2.0, 2.6} {
+				for _, alternative := range alternatives {
+					run := load(factor, alternative.policy)
+					t.Logf("%.1f %-34s %s", factor, alternative.name, run.table())
+				}
+			}
+		})
+	}
+}
+
+// table plays the load and returns how the requests of the burst ended, by kind.
+func (r *overloadRun) table() string {
+	r.run()
+	o := count(r.requests, duringBurst(r))
+	line := fmt.Sprintf("work in time %.2f, first attempts %4.0f/s", r.workShare(&o), float64(o.firstAttempts)/r.burst.Seconds())
+	for i := range r.kinds {
+		k := count(r.requests, func(q *simRequest) bool { return duringBurst(r)(q) && q.kind == &r.kinds[i] })
+		line += fmt.Sprintf(" | %s %5d in time %5d late %5d refused %4d failed", r.kinds[i].name, k.inTime, k.late, k.refused, k.failed)
 	}
+	return line
 }
--- a/targetgate/overload_internal_test.go
+++ b/targetgate/overload_internal_test.go
@@ -14,14 +14,13 @@
 
 // kind is a kind of requests of a load.
 type kind struct {
-	name       string
-	share      float64 // of the requests
-	work       time.Duration
-	objective  time.Duration
-	deadline   time.Duration
-	priority   uint8
-	idempotent bool
-	openFlows  float64 // share of the requests that are sent on open flows
+	name      string
+	share     float64 // of the requests
+	work      time.Duration
+	objective time.Duration
+	deadline  time.Duration
+	priority  uint8
+	openFlows float64 // share of the requests that are sent on open flows
 }
 
 // overloadRun is a load of several targets through balancers that offer flows as described in docs/design/overview.md:
--- a/targetgate/shedding_internal_test.go
+++ b/targetgate/shedding_internal_test.go
@@ -40,7 +40,7 @@
 		run := balcaoRun(2.4, 2, nil)
 		run.burst, run.speeds = 6*time.Second, slowFifth
 		if shed {
-			run.policy = policyWith(func(*shedPolicy) {})
+			run.policy = shedding()
 		}
 		o := count(run.run(), duringBurst(run))
 		t.Logf("shed %v: %.2f of the capacity; %+v", shed, run.workShare(&o), o)
@@ -61,7 +61,7 @@
 func TestDelayIsNormalWithinASecondOfOverload(t *testing.T) {
 	for _, slots := range []int{2, 9} {
 		t.Run(fmt.Sprint(slots), func(t *testing.T) {
-			run := balcaoRun(2, slots, policyWith(func(*shedPolicy) {}))
+			run := balcaoRun(2, slots, shedding())
 			requests := run.run()
 			o := count(requests, duringBurst(run))
 			require.Greater(t, run.workShare(&o), 0.85)
@@ -73,7 +73,7 @@
 }
 
 // sheddingGate returns a gate with shedding.
-func sheddingGate() *Gate { return (&overloadRun{policy: policyWith(func(*shedPolicy) {})}).newGate() }
+func sheddingGate() *Gate { return (&overloadRun{policy: shedding()}).newGate() }
 
 // openNumbered offers a flow that may wait and, if the gate accepts it, sends its request.
 func openNumbered(g *Gate, n, retransmission int, budget, now time.Duration) (Verdict, encap.Reason) {
@@ -178,7 +178,7 @@
 // Load: 2.4 times the capacity, of which one of six callers sends three quarters. Guards against callers with few flows
 // that are displaced by one with many.
 func TestCallersWithFewFlowsAreNotDisplaced(t *testing.T) {
-	run := balcaoRun(2.4, 2, policyWith(func(*shedPolicy) {}))
+	run := balcaoRun(2.4, 2, shedding())
 	run.kinds = run.kinds[:1]
 	run.kinds[0].share = 1
 	run.callers = []float64{0.75, 0.05, 0.05, 0.05, 0.05, 0.05}
@@ -193,7 +193,7 @@
 // of first attempts. The share of the retries that the gate recognizes is bounded by deferredShare while others wait.
 func TestRetriesGetBoundedShare(t *testing.T) {
 	for _, factor := range []float64{1.0, 1.5, 2.0, 2.6} {
-		run := balcaoRun(factor, 2, policyWith(func(*shedPolicy) {}))
+		run := balcaoRun(factor, 2, shedding())
 		o := count(run.run(), duringBurst(run))
 		share := float64(run.retries) / float64(run.started)
 		t.Logf("%.1f: %.0f first attempts a second, %.3f of the starts are recognized retries, %d attempts after the first",
@@ -205,21 +205,8 @@
 // Load: 1.5 and 2.6 times the capacity for 7 s; for 4 s, four of ten targets are cold and slow and get 5 flows a second.
 // Guards against flows that wait for a cold target although their turn comes too late.
 func TestColdTargetsDoNotKeepFlowsWaiting(t *testing.T) {
-	isCold := func(i int, at time.Duration) bool { return i < 4 && at < 4*time.Second }
 	for _, factor := range []float64{1.5, 2.6} {
-		run := balcaoRun(factor, 2, policyWith(func(*shedPolicy) {}))
-		run.speeds = func(i int, at time.Duration) float64 {
-			if isCold(i, at) {
-				return 0.25
-			}
-			return 1
-		}
-		run.coldRate = func(i int, at time.Duration) float64 {
-			if isCold(i, at) {
-				return 5
-			}
-			return 0
-		}
+		run := coldRun(factor, shedding())
 		run.run()
 		o := count(run.requests, func(q *simRequest) bool { return q.sent > runStart+time.Second && q.sent < runStart+run.burst })
 		require.Zero(t, o.failed)
@@ -231,7 +218,7 @@
 // Load: 2.4 times the capacity for 7 s; after 3 s, the agents of half of the targets restart. Guards against a restarted
 // agent that overloads its target or keeps refusing.
 func TestRestartOfAgentsDuringOverload(t *testing.T) {
-	run := balcaoRun(2.4, 2, policyWith(func(*shedPolicy) {}))
+	run := balcaoRun(2.4, 2, shedding())
 	run.restart = 3 * time.Second
 	run.run()
 	o := count(run.requests, func(q *simRequest) bool { return q.sent > runStart+4*time.Second && q.sent < runStart+run.burst })
