--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -18,6 +18,7 @@
 	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/forward"
 	"github.com/cowslipward/cowslipward/internal/logsink"
+	"github.com/cowslipward/cowslipward/loadcontrol"
 	"github.com/cowslipward/cowslipward/platform/platformtest"
 )
 
@@ -44,6 +45,8 @@
 	caller    *platformtest.Caller
 	outcomes  *burn.Recorder[string]
 	decisions *decisionCounter
+	// loadControl is that of agents that start later.
+	loadControl loadcontrol.Settings
 
 	directoryMu sync.Mutex // guards directory and revision; ConfirmView reads the view in its own goroutine
 
@@ -56,13 +59,18 @@
 var network = sync.OnceValue(func() byte {
 	for n := byte(100); n < 200; n++ {
 		last := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n, 255, 254}), packetsPort)
-		if _, err := net.Listen("tcp4", last.String()); err == nil {
-			return n // the listener stays open until the program ends
+		if claim, err := net.Listen("tcp4", last.String()); err == nil {
+			networkClaim = claim
+			return n
 		}
 	}
 	panic("no loopback network is free")
 })
 
+// networkClaim keeps the listener open until the program ends. The garbage collector would close one that is not
+// referenced, and another run could claim the network.
+var networkClaim net.Listener
+
 func addressOf(kind, n, port int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, network(), byte(kind), byte(n + 1)}), uint16(port))
 }
@@ -203,6 +211,8 @@
 		Log:        slog.New(slog.DiscardHandler),
 		Sampler:    logsink.NewSampler(1),
 		Outcomes:   b.outcomes,
+
+		LoadControl: b.loadControl,
 	})
 	require.NoError(b.t, err)
 	go agent.Run()
--- a/targetgate/shedding_internal_test.go
+++ b/targetgate/shedding_internal_test.go
@@ -226,3 +226,29 @@
 	require.Greater(t, run.workShare(&o), 0.85)
 	require.Zero(t, o.failed)
 }
+
+// Guards against a table of callers that grows, keeps callers that are gone, or counts two callers as one for good: the
+// seed of each process gives other collisions.
+func TestCallerSharesAreBoundedAndForget(t *testing.T) {
+	shares := newCallerShares()
+	heavy, light := [4]byte{10, 0, 0, 1}, [4]byte{10, 0, 0, 2}
+	for shares.cell(heavy) == shares.cell(light) {
+		shares = newCallerShares()
+	}
+	now := time.Second
+	for n := range 100 {
+		shares.count(heavy, 2, now)
+		if n%10 == 0 {
+			shares.count(light, 2, now)
+		}
+	}
+	require.InDelta(t, 0.5+0.5*55/100.0, shares.fairness(heavy, 2), 0.001)
+	require.InDelta(t, 1, shares.fairness(light, 2), 0)
+	require.InDelta(t, 1, shares.fairness(heavy, 1), 0, "another priority")
+	shares.count(light, 2, now+20*time.Second)
+	require.InDelta(t, 1, shares.fairness(heavy, 2), 0)
+	for n := range 100_000 {
+		shares.count([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}, 2, now)
+	}
+	require.LessOrEqual(t, shares.levels[2].active, callerCells)
+}
