--- a/targetgate/serviceorder.go
+++ b/targetgate/serviceorder.go
@@ -4,7 +4,7 @@
 
 // deferredShare is the share of the starts that goes to deferred requests while others wait that can be answered in
 // time. Most of the capacity has to answer the latter, and the former must not wait until their deadline.
-const deferredShare = 1.0 / 16
+const deferredShare = 1.0 / 32
 
 // urgentShare is the same while a deferred request would otherwise miss its deadline.
 const urgentShare = 0.5
