Admission: the time until the first request arrives is part of the permitted wait

While a flow opens it counts as waiting, but its request is not there yet: with 50 ms from the acceptance to the request, slots were idle at a queue that seemed long. The gate learns that time and permits it in addition; flows that open count for twice that time instead of 60 ms.

--- a/targetgate/admission.go
+++ b/targetgate/admission.go
@@ -20,6 +20,10 @@
 	// deferredBudgetShare is the share of its caller's time within which a deferred request is served if the target
 	// spends deferredShare of its starts on them.
 	deferredBudgetShare = 0.5
+	// lagWeight is the weight of a new flow in the moving average of the time from its acceptance to its first request.
+	lagWeight = 0.1
+	// maxRequestLag bounds that time. Longer ones are those of callers that keep a flow for later.
+	maxRequestLag = 200 * time.Millisecond
 	// startWeight is the weight of a started request in the moving averages of the shares of the priorities.
 	startWeight = 0.05
 )
@@ -38,6 +42,7 @@
 	startShares    [PriorityLevels]float64 // of the started requests, by priority; a moving average
 	deferredCredit float64                 // starts that are due to deferred requests
 	coldRate       float64                 // of the last offer
+	requestLag     time.Duration           // from the acceptance of a flow to its first request; a moving average
 	slotFree       []time.Duration         // scratch space of slotTimes
 	started        int                     // requests that the target got since the last call of TakeStarted
 	retries        int                     // retries among them
@@ -131,10 +136,12 @@
 func (o *Offer) objectiveEnd(now time.Duration) time.Duration { return now - o.age() + o.objective() }
 
 // permittedWait returns a share of the longest time that a new request may wait for a slot. The share applies to the
-// policy's share of the slack.
+// policy's share of the slack. The time that its first request takes to arrive is permitted in any case: while a flow
+// opens, its request does not wait yet, and slots would be idle.
 func (g *Gate) permittedWait(objective time.Duration, share float64) time.Duration {
-	slack := max(0, objective-g.serviceTime)
-	return time.Duration(share * g.admission.policy.waitShare * float64(slack))
+	lag := g.admission.requestLag
+	slack := max(0, objective-g.serviceTime-lag)
+	return lag + time.Duration(share*g.admission.policy.waitShare*float64(slack))
 }
 
 // isAcceptable reports whether a flow that has to wait may do so, and whether the target is overloaded: it could not
@@ -148,11 +155,11 @@
 	switch {
 	case w.deferred > g.maxDeferred(r), w.fresh > g.permittedWait(objective, fair):
 		return false, true
-	case o.age()+g.serviceTime > objective: // late
+	case o.age()+g.admission.requestLag+g.serviceTime > objective: // late
 		limit := g.permittedWait(objective, g.admission.policy.lateWaitShare*fair/g.admission.policy.waitShare)
 		return w.all <= limit, false
 	default:
-		return o.age()+w.own+g.serviceTime <= objective, false
+		return o.age()+max(w.own, g.admission.requestLag)+g.serviceTime <= objective, false
 	}
 }
 
@@ -167,6 +174,19 @@
 	return max(1, int(share*float64(budget)*float64(g.slots)/float64(max(g.serviceTime, time.Microsecond))))
 }
 
+// recordArrival records the time from the acceptance of a flow to its first request.
+func (a *admission) recordArrival(lag time.Duration) {
+	a.requestLag += time.Duration(lagWeight * float64(min(lag, maxRequestLag)-a.requestLag))
+}
+
+// openingTimeout returns how long an accepted flow counts towards the load while its first request has not arrived.
+func (a *admission) openingTimeout() time.Duration {
+	if !a.enabled {
+		return firstRequestTimeout
+	}
+	return max(firstRequestTimeout, 2*a.requestLag)
+}
+
 // countStart counts a request that the target gets.
 func (a *admission) countStart(w *waiter) {
 	a.started++
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -197,12 +197,12 @@
 // Expire ends what has timed out: accepted flows whose caller sent no request, requests without a response, and
 // entries of the queues whose callers have given up.
 func (g *Gate) Expire(now time.Duration) {
-	kept := g.opening[:0]
+	kept, openingTimeout := g.opening[:0], g.admission.openingTimeout()
 	for _, o := range g.opening {
 		if o.state.phase != requestOpening {
 			continue
 		}
-		if now-o.at > firstRequestTimeout {
+		if now-o.at > openingTimeout {
 			o.state.phase = requestNone
 			continue
 		}
--- a/targetgate/requests.go
+++ b/targetgate/requests.go
@@ -77,6 +77,9 @@
 		return ActionForward
 	}
 	next := g.requestWaiter(key, s, p.Budget, now)
+	if s.synSentAt != 0 {
+		g.admission.recordArrival(now - s.since)
+	}
 	s.synSentAt = 0
 	if g.canStartRequest() {
 		g.admission.countStart(&next)
