--- a/targetgate/alternatives_internal_test.go
+++ b/targetgate/alternatives_internal_test.go
@@ -25,7 +25,7 @@
 func balcaoRun(factor float64, slots int, policy *shedPolicy) *overloadRun {
 	return &overloadRun{
 		seed: 1, kinds: balcaoKinds(), targets: 10, slots: slots, factor: factor, baseFactor: 0.5,
-		burst: 7 * time.Second, end: 10 * time.Second, policy: policy,
+		burst: 7 * time.Second, end: 10 * time.Second, policy: policy, roundTrip: 2 * ms,
 	}
 }
 
--- a/targetgate/shedding_internal_test.go
+++ b/targetgate/shedding_internal_test.go
@@ -229,6 +229,21 @@
 	}
 }
 
+// Load: 0.7 and 2.4 times the capacity with requests that arrive 50 ms after their flow was accepted. Guards against slots
+// that are idle while flows are refused because others open.
+func TestRequestsThatArriveLateLeaveNoSlotIdle(t *testing.T) {
+	for factor, inTime := range map[float64]float64{0.7: 0.68, 2.4: 0.8} {
+		run := balcaoRun(factor, 2, shedding())
+		run.roundTrip = 50 * ms
+		o := count(run.run(), duringBurst(run))
+		require.Greater(t, run.workShare(&o), inTime)
+		require.Zero(t, o.failed)
+		if factor < 1 {
+			require.Zero(t, o.refused)
+		}
+	}
+}
+
 // Load: 2.4 times the capacity for 7 s; after 3 s, the agents of half of the targets restart. Guards against a restarted
 // agent that overloads its target or keeps refusing.
 func TestRestartOfAgentsDuringOverload(t *testing.T) {
--- a/targetgate/sim_flows_internal_test.go
+++ b/targetgate/sim_flows_internal_test.go
@@ -20,7 +20,7 @@
 			s.opened = s.opened[1:]
 			a := r.flows[key]
 			a.request, a.number, a.sent, a.over, a.serving = request, a.number+1, r.now, false, false
-			r.after(roundTrip/2, func() { r.deliver(a) })
+			r.after(r.roundTrip/2, func() { r.deliver(a) })
 			return
 		}
 	}
@@ -31,7 +31,7 @@
 	}}
 	r.flows[a.key] = a
 	for number := range retransmissionAge {
-		r.after(retransmissionAge[number]+roundTrip/2, func() { r.place(a, number) })
+		r.after(retransmissionAge[number]+r.roundTrip/2, func() { r.place(a, number) })
 	}
 	r.after(1400*ms, func() { r.retry(a) })
 }
@@ -123,13 +123,13 @@
 	}
 }
 
-func (r *overloadRun) reset(a *attempt) { r.after(roundTrip/2, func() { r.retry(a) }) }
+func (r *overloadRun) reset(a *attempt) { r.after(r.roundTrip/2, func() { r.retry(a) }) }
 
 // openFlow lets the target acknowledge the SYN of a flow, and the caller send the request.
 func (r *overloadRun) openFlow(a *attempt) {
 	a.open = true
 	a.target.gate.FromTarget(a.key, &flow.Packet{Syn: true, AckFlag: true}, r.now)
-	r.after(roundTrip, func() { r.deliver(a) })
+	r.after(r.roundTrip, func() { r.deliver(a) })
 }
 
 func (r *overloadRun) deliver(a *attempt) {
@@ -162,7 +162,7 @@
 	s := a.target
 	s.gate.FromTarget(a.key, &flow.Packet{AckFlag: true, Seq: 1 + uint32(500*a.number), DataLen: 500}, r.now)
 	a.over = true
-	r.after(roundTrip/2, func() { r.finish(a.request, true) })
+	r.after(r.roundTrip/2, func() { r.finish(a.request, true) })
 	if a.request.kind.openFlows > 0 {
 		s.opened = append(s.opened, a.key)
 	}
--- a/targetgate/sim_internal_test.go
+++ b/targetgate/sim_internal_test.go
@@ -38,6 +38,7 @@
 	callers    []float64 // shares of the requests by caller address; empty: one caller
 	coldRate   func(target int, at time.Duration) float64
 	policy     *shedPolicy   // nil: without shedding
+	roundTrip  time.Duration // between callers and targets
 	restart    time.Duration // when the agents of half of the targets restart; 0: never
 
 	started, retries int // requests that the targets got, and retries among them as the gates recognize them
@@ -111,11 +112,8 @@
 	heap.Push(&r.events, event{at: r.now + d, seq: r.events.seq, do: do})
 }
 
-const (
-	runStart  = 10 * time.Second
-	hopTime   = ms / 2
-	roundTrip = 2 * ms
-)
+// runStart is when the load of a run begins.
+const runStart = 10 * time.Second
 
 // run plays the load and returns its requests.
 func (r *overloadRun) run() []*simRequest {
