--- a/targetgate/waitestimate.go
+++ b/targetgate/waitestimate.go
@@ -87,12 +87,13 @@
 			free = append(free, g.remainingTime(now-s.since))
 		}
 	}
-	for len(free) < g.slots {
+	slots := g.concurrency()
+	for len(free) < slots {
 		free = append(free, 0)
 	}
 	slices.Sort(free)
 	g.admission.slotFree = free
-	return slotTimes{free: free[:g.slots], excess: len(free) - g.slots, serviceTime: g.serviceTime}
+	return slotTimes{free: free[:slots], excess: len(free) - slots, serviceTime: g.serviceTime}
 }
 
 // remainingTime estimates how long a request of some age stays in progress. One that has taken much longer than the
