--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -55,6 +55,7 @@
 	CauseNoRoom          Cause = "no_room"         // no target accepts or queues the flow now; a retransmission may succeed
 	CauseIsolated        Cause = "isolated"        // the balancer reaches no agent, and this is the last retransmission
 	CauseOverload        Cause = "overload"        // no target accepts or queues the last retransmission of a SYN, or an earlier one if the service is known to be overloaded
+	CauseShortage        Cause = "shortage"        // as above, at any SYN: flows have found no room for longer than their objective
 	CauseUnknownFlow     Cause = "unknown_flow"    // no target owns the flow
 	CauseMissUnconfirmed Cause = "miss_unproved"   // no target of a view that may be outdated owns the flow
 	CauseDomainOut       Cause = "domain_out"      // the target of the flow is in a failure domain that is out of service
@@ -67,7 +68,7 @@
 // Causes lists all causes.
 var Causes = []Cause{
 	CausePlaced, CauseRepeated, CauseNextTarget, CauseWait, CauseOpen, CauseSearch, CauseSearchOthers, CauseSearchLimit, CauseSearching, CauseNoRoute, CauseNoView,
-	CauseNoTarget, CauseNoRoom, CauseIsolated, CauseOverload, CauseUnknownFlow, CauseMissUnconfirmed, CauseDomainOut, CauseTooManyHops,
+	CauseNoTarget, CauseNoRoom, CauseIsolated, CauseOverload, CauseShortage, CauseUnknownFlow, CauseMissUnconfirmed, CauseDomainOut, CauseTooManyHops,
 	CauseNotFromCaller, CauseStaleReturn, CauseCallerReset,
 }
 
@@ -84,7 +85,7 @@
 
 // IsRefusal reports whether a new flow is refused although the configuration has a route for its address.
 func (c Cause) IsRefusal() bool {
-	return c == CauseOverload || c == CauseNoTarget || c == CauseIsolated
+	return c == CauseOverload || c == CauseShortage || c == CauseNoTarget || c == CauseIsolated
 }
 
 // Decision is the outcome of one packet, its cause and the data to carry it out.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,6 +60,7 @@
 	viewComparison viewComparison
 	domainOutGrace time.Duration // how long open flows are kept in a failure domain that is out
 	loadControl    loadcontrol.Settings
+	shortages      map[placement.Class]shortage
 	speeds         *capacity.Speeds // nil: off
 	changes        capacityChanges
 }
@@ -80,6 +81,7 @@
 		view:           view,
 		domainOutSince: make(map[string]time.Duration),
 		domainOutGrace: domainOutGrace,
+		shortages:      newShortages(),
 		wideSearches:   pathBudget{left: wideSearchPathsPerSecond},
 	}
 }
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -103,7 +103,7 @@
 		return d.offerNext(key, e, CauseNextTarget, p, route, now)
 	}
 	if !known.Overloaded || e.direct.overloaded < e.direct.made {
-		return d.handleNoRoom(key, e, p, now) // there may be room when the next SYN arrives
+		return d.handleNoRoom(key, e, p, route, now) // there may be room when the next SYN arrives
 	}
 	refused := d.refuse(key, e, CauseOverload, p, now)
 	refused.Shed, refused.Header.Priority = true, encap.Clamp8(route.Priority)
--- a/dispatch/overload_sim_test.go
+++ b/dispatch/overload_sim_test.go
@@ -45,19 +45,21 @@
 // loadSim is a deployment in which callers send SYNs up to three times, agents report every 200 ms, and datagrams take
 // no time. It has one service.
 type loadSim struct {
-	random    *rand.Rand
-	store     *fleet
-	now       time.Duration
-	balancers []*dispatch.Dispatcher
-	targets   []loadTarget
-	due       map[time.Duration][]*loadCaller // callers by the time of their next SYN
-	flows     int
+	random      *rand.Rand
+	store       *fleet
+	now         time.Duration
+	balancers   []*dispatch.Dispatcher
+	targets     []loadTarget
+	due         map[time.Duration][]*loadCaller // callers by the time of their next SYN
+	flows       int
+	viewsAreOld bool // the store no longer confirms the views
 	loadStats
 }
 
 // loadStats are the results since the last reset of them.
 type loadStats struct {
 	issued, accepted, shed, refusedLate int // requests, then flows by outcome
+	shortages                           int // flows that were reset because others had found no room for longer than their objective
 	shedAtFirstSyn                      int
 	offersRefused                       int // offers of flows that were not accepted, by SYN
 	synsRefused                         int
@@ -136,7 +138,9 @@
 		}
 		for _, b := range s.balancers {
 			b.HandleReport(ip(n), &h, s.now)
-			b.SetView(b.View(), s.now, s.now)
+			if !s.viewsAreOld {
+				b.SetView(b.View(), s.now, s.now)
+			}
 		}
 	}
 }
@@ -168,6 +172,8 @@
 		return
 	}
 	switch {
+	case decision.Cause == dispatch.CauseShortage:
+		s.shortages++
 	case !decision.Shed:
 		s.refusedLate++
 	case c.syns == 0:
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -41,6 +41,7 @@
 	s.run(250*ms, 2.6)
 	s.run(2*time.Second, 0.7)
 	require.Zero(t, s.shed)
+	require.Zero(t, s.shortages)
 }
 
 // Load: 2 times the capacity of 26 targets for 5 s, then 0.7 times. Guards against balancers that refuse flows, or make direct offers,
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -106,8 +106,11 @@
 const lastRetransmission = 2
 
 // handleNoRoom handles a new flow that no target accepts or queues. A retransmission of the SYN may succeed; the last
-// one is refused at once, so that the caller does not wait in vain.
-func (d *Dispatcher) handleNoRoom(key flow.Key, e *entry, p *flow.Packet, now time.Duration) Decision {
+// one is refused at once, so that the caller does not wait in vain. In a lasting shortage each SYN is.
+func (d *Dispatcher) handleNoRoom(key flow.Key, e *entry, p *flow.Packet, route *directory.Route, now time.Duration) Decision {
+	if d.isLastingShortage(e, p, route, now) {
+		return d.refuse(key, e, CauseShortage, p, now)
+	}
 	if p.Retransmission >= lastRetransmission {
 		return d.refuse(key, e, CauseOverload, p, now)
 	}
@@ -125,7 +128,7 @@
 		d.recordOverload(ip, e, p, route, now)
 	}
 	if e.waiting && e.direct.made == 0 {
-		return d.handleNoRoom(key, e, p, now)
+		return d.handleNoRoom(key, e, p, route, now)
 	}
 	d.recordRefusal(ip, h.Reason, now)
 	if e.waiting {
--- /dev/null
+++ b/dispatch/shortage_test.go
@@ -0,0 +1,58 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Load: 1.2 times the capacity of 51 targets for 4 s, so that at any time some targets have room and less than three
+// quarters say that they are overloaded. Guards against flows without room whose callers wait 200 ms and longer for
+// their next SYN, until their requests are late.
+func TestFlowsWithoutRoomAreResetInLastingShortage(t *testing.T) {
+	s := newLoadSim(51, 25, true)
+	s.run(time.Second, 1.2)
+	s.takeStats()
+	s.run(3*time.Second, 1.2)
+	t.Logf("%+v", s.loadStats)
+	require.Positive(t, s.shortages)
+	require.Less(t, s.refusedLate, (s.shed+s.shortages)/20, "few callers get the reset only after their third SYN")
+	s.run(time.Second, 0.7)
+	s.takeStats()
+	s.run(2*time.Second, 0.7)
+	require.Zero(t, s.shortages, "the shortage is over one second after the overload")
+}
+
+// Load: 2 times the capacity, with agents of a version that never says that it is overloaded. Guards against resets by
+// balancers that do not know why flows were refused.
+func TestOldAgentsCauseNoShortage(t *testing.T) {
+	s := newLoadSim(26, 12, true)
+	for n := range s.targets {
+		s.targets[n].old = true
+	}
+	s.run(3*time.Second, 2)
+	require.Zero(t, s.shed)
+	require.Zero(t, s.shortages)
+	require.Positive(t, s.refusedLate)
+}
+
+// Load: 2 times the capacity. Guards against a part that cannot be switched off.
+func TestNoShortageWithoutLoadControl(t *testing.T) {
+	s := newLoadSim(26, 12, false)
+	s.run(3*time.Second, 2)
+	require.Zero(t, s.shortages)
+}
+
+// Load: 2 times the capacity, at a balancer whose view was confirmed longer ago than a refusal may rely on. Guards
+// against resets although a newer view may have more targets.
+func TestShortageIsNotDeclaredWithOldView(t *testing.T) {
+	s := newLoadSim(26, 12, true)
+	s.run(time.Second, 2)
+	s.viewsAreOld = true
+	s.run(1500*ms, 2)
+	s.takeStats()
+	s.run(time.Second, 2)
+	require.Zero(t, s.shortages)
+	require.Zero(t, s.shed)
+}
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -105,6 +105,7 @@
 		searches:       make(map[searchKey]pendingSearch),
 		closed:         make(chan struct{}),
 	}
+	a.gate.BeginRecovery()
 	a.gate.SetLoadControl(c.LoadControl, c.Service)
 	if c.ResetEndedFlows {
 		a.gate.ReportEndedFlows()
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -123,11 +123,16 @@
 	o.saidAt = now
 }
 
+// HeardRecently reports whether any target said within statementLifetime that it is full or overloaded.
+func (o *OverloadTracker) HeardRecently(now time.Duration) bool {
+	return o.saidAt != 0 && now-o.saidAt <= statementLifetime
+}
+
 // Assess returns how far the service of the class is overloaded for its flows. It is overloaded if at least three
 // quarters of the eligible targets refused flows because of overload within statementLifetime or, for longer than the
 // objective, reported waits that exceed it.
 func (o *OverloadTracker) Assess(class Class, now time.Duration) Overload {
-	if class.Objective <= 0 || o.saidAt == 0 || now-o.saidAt > statementLifetime {
+	if class.Objective <= 0 || !o.HeardRecently(now) {
 		return Overload{Class: class}
 	}
 	state := o.classes[class]
--- a/targetgate/admission.go
+++ b/targetgate/admission.go
@@ -87,7 +87,9 @@
 	}
 }
 
-func (g *Gate) updateShedding() { g.admission.enabled = g.loadControl.Sheds(g.service, g.slots) }
+func (g *Gate) updateShedding() {
+	g.admission.enabled = !g.recovery.active && g.loadControl.Sheds(g.service, g.slots)
+}
 
 // Sheds reports whether flows that could not be answered in time are refused.
 func (g *Gate) Sheds() bool { return g.admission.enabled }
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -131,6 +131,7 @@
 	service          string // of the target; empty: load control is off
 	loadControl      loadcontrol.Settings
 	admission        *admission
+	recovery         recovery
 	flows            *flow.Table[*flowState]
 	opening          []openingFlow // accepted flows without a request, oldest first
 	inProgress       map[flow.Key]*flowState
--- a/targetgate/offer.go
+++ b/targetgate/offer.go
@@ -11,6 +11,7 @@
 // it although all slots are in use.
 func (g *Gate) Offer(o *Offer, now time.Duration) (Verdict, encap.Reason) {
 	g.setSlots(max(1, o.Slots))
+	g.updateRecovery(now)
 	g.updateRoute(o)
 	g.updateLimit(o, now)
 	g.Expire(now)
