Directory: keep revisions of refused entries when tombstones are pruned

Cause: PruneTombstones discarded the revisions of a refused entry that lay after the directory's own revision. The compact revision did not cover them, and the refusal, still listed, counted as known when the reader read on: peers were not told.

Change: entries after the own revision and refused entries keep their revisions.

--- a/directory/refusal_test.go
+++ b/directory/refusal_test.go
@@ -116,3 +116,21 @@
 	require.True(t, view.ContainsTargetsOf(d.View()), "both entries are in both views")
 	require.False(t, directory.New().View().ContainsTargetsOf(view))
 }
+
+// Guards against a peer that keeps a target whose entry became unusable: the reader had the refusal before it had read up
+// to it, discarded its tombstones, and then took the refusal for known.
+func TestRefusalReachesPeersAfterPruning(t *testing.T) {
+	odd := refusedRecord(directory.KindTarget, "i-1", 2, directory.RefusedState)
+	reader, peer := directory.New(), directory.New()
+	for _, d := range []*directory.Directory{reader, peer} {
+		apply(d, 0, targetRecord("i-1", 1, 1))
+		d.AdvanceSnapshot(1)
+	}
+	apply(reader, 0, odd) // by a peer's update of which a part was lost
+	reader.PruneTombstones(0)
+	apply(reader, 0, odd)
+	reader.Advance(2)
+	apply(peer, 0, reader.ChangesSince(1, 0)...)
+	require.Zero(t, peer.View().TargetCount())
+	require.Equal(t, reader.View().Refused, peer.View().Refused)
+}
--- a/directory/replication.go
+++ b/directory/replication.go
@@ -42,24 +42,30 @@
 }
 
 // PruneTombstones discards the revisions of removed entries if there are more than limit. Peers that are behind the
-// current revision then need a snapshot.
+// current revision then need a snapshot. Entries after the current revision stay: that revision does not cover them.
 func (d *Directory) PruneTombstones(limit int) {
-	if len(d.entries)-len(d.targets)-len(d.outDomains) <= limit {
+	if len(d.entries)-len(d.targets)-len(d.outDomains)-len(d.refused) <= limit {
 		return
 	}
-	for key := range d.entries {
-		domain, isOut := strings.CutPrefix(key, domainKeyPrefix)
-		exists := d.outDomains[domain]
-		if !isOut {
-			_, exists = d.targets[strings.TrimPrefix(key, targetKeyPrefix)]
-		}
-		if !exists {
+	for key, revisions := range d.entries {
+		if revisions.latest <= d.revision && !d.holdsEntry(key) {
 			delete(d.entries, key)
 		}
 	}
 	d.compactRevision = max(d.compactRevision, d.revision)
 }
 
+// holdsEntry reports whether the entry is in use or listed as refused.
+func (d *Directory) holdsEntry(key string) bool {
+	if _, refused := d.refused[key]; refused {
+		return true
+	}
+	if domain, isOut := strings.CutPrefix(key, domainKeyPrefix); isOut {
+		return d.outDomains[domain]
+	}
+	return d.targets[strings.TrimPrefix(key, targetKeyPrefix)] != nil
+}
+
 // ChangesSince returns the latest record of each entry that changed after a revision, including removals, in the
 // order of the changes. Remaining cold times are as of now. If the revision is below CompactRevision, removals
 // may be missing, so the result must be treated as a snapshot.
