--- a/directory/bench_test.go
+++ b/directory/bench_test.go
@@ -42,7 +42,7 @@
 		d.Apply(&first, time.Second)
 		d.Advance(1)
 	}
-	revision := uint64(1)
+	revision := directory.Revision(1)
 	for b.Loop() {
 		b.StopTimer()
 		next := configWithRoutes(int64(revision+1), names...)
@@ -67,12 +67,12 @@
 	d := directory.New()
 	config := configRecord(1, configWithRoutes(1, names...))
 	d.Apply(&config, time.Second)
-	record := func(n int, revision uint64) directory.Record {
+	record := func(n int, revision directory.Revision) directory.Record {
 		t := newTarget(fmt.Sprintf("i-%d", n), 0, int64(revision))
 		t.Address.IP = [4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}
 		return directory.Record{Kind: directory.KindTarget, Name: t.ID, Revision: revision, Target: t}
 	}
-	revision := uint64(1)
+	revision := directory.Revision(1)
 	for n := range 7100 {
 		revision++
 		r := record(n, revision)
--- a/directory/config.go
+++ b/directory/config.go
@@ -15,6 +15,7 @@
 	if r.Revision > d.refused[configEntryKey].Revision {
 		d.clearRefusal(configEntryKey) // replaced, also by the configuration in force
 	}
+	d.noteStoreConfig(r)
 	next := d.resolveConfig(r)
 	if next == nil || (d.config != nil && next.Version <= d.config.Version) {
 		return false
@@ -22,6 +23,8 @@
 	d.recordFormerServices(next)
 	d.recordTransition(r, next)
 	d.config, d.configRevision, d.dirty = next, r.Revision, true
+	d.awaitsConfig = r.ContentRevision != 0 && r.Revision.Era() != 0
+	d.endCarrying()
 	return true
 }
 
@@ -89,12 +92,13 @@
 // nil if the record is outdated, has no readable configuration, or changes a configuration other than the current
 // one.
 func (d *Directory) resolveConfig(r *Record) *Config {
+	version, _ := r.version()
 	switch {
-	case r.Revision <= d.configRevision:
+	case r.Revision < d.configRevision || (d.config != nil && version <= d.config.Version):
 		return nil
 	case r.Change == nil:
 		return withSortedRoutes(r.Config)
-	case d.config == nil || r.Change.Base != d.configRevision:
+	case !r.Change.appliesTo(d.config, d.configRevision):
 		d.baseMismatch = true
 		return nil
 	default:
--- a/directory/config_change.go
+++ b/directory/config_change.go
@@ -8,7 +8,11 @@
 // ConfigChange is the difference between two configurations. With thousands of routes it is far smaller than the full
 // configuration.
 type ConfigChange struct {
-	Base uint64   // store revision of the configuration to which the change applies
+	Base Revision // store revision of the configuration to which the change applies
+	// BaseVersion is the version of that configuration; 0 from peers that do not send it. After a restoration of the
+	// store, processes that had different configurations count them as written at the same revision.
+	BaseVersion int64 `json:",omitempty"`
+
 	Next Config   // new configuration, with only the routes that are new or changed
 	Gone []string // names of removed routes
 }
@@ -20,8 +24,8 @@
 // diffConfigs returns the change from old, the configuration at store revision base, to next. It reports false if the
 // change is not smaller than the full configuration, or if applying it would not reproduce next: route names are not
 // unique, or the order of routes that share an address has changed.
-func diffConfigs(old *Config, base uint64, next *Config) (*ConfigChange, bool) {
-	c := &ConfigChange{Base: base, Next: *next}
+func diffConfigs(old *Config, base Revision, next *Config) (*ConfigChange, bool) {
+	c := &ConfigChange{Base: base, BaseVersion: old.Version, Next: *next}
 	c.Next.Routes = nil
 	oldRoutes := make(map[string]*Route, len(old.Routes))
 	for i := range old.Routes {
@@ -42,6 +46,11 @@
 	return c, c.size() < len(next.Routes) && reflect.DeepEqual(c.apply(old), next)
 }
 
+// appliesTo reports whether the change is one of the configuration at a store revision. old may be nil.
+func (c *ConfigChange) appliesTo(old *Config, revision Revision) bool {
+	return old != nil && c.Base == revision && (c.BaseVersion == 0 || c.BaseVersion == old.Version)
+}
+
 // apply returns the configuration that results from applying the change to old, with its routes sorted by address.
 func (c *ConfigChange) apply(old *Config) *Config {
 	next := c.Next
--- a/directory/config_change_test.go
+++ b/directory/config_change_test.go
@@ -22,7 +22,7 @@
 	return c
 }
 
-func configRecord(revision uint64, c *directory.Config) directory.Record {
+func configRecord(revision directory.Revision, c *directory.Config) directory.Record {
 	return directory.Record{Kind: directory.KindConfig, Revision: revision, Config: c}
 }
 
@@ -86,7 +86,7 @@
 	reader := directory.New()
 	peers := make([]*directory.Directory, 5)
 	for n := range peers {
-		revision := uint64(10 * (n + 1))
+		revision := directory.Revision(10 * (n + 1))
 		config := configWithRoutes(int64(n+1), names...)
 		for i := range n {
 			config.Routes[i].Priority = 1
@@ -106,7 +106,7 @@
 		require.False(t, peer.TakeBaseMismatch(), "peer %d", n)
 		require.Equal(t, reader.View().Config, peer.View().Config, "peer %d", n)
 	}
-	for revision := uint64(100); revision < 120; revision++ {
+	for revision := directory.Revision(100); revision < 120; revision++ {
 		apply(reader, time.Second, configRecord(revision, configWithRoutes(int64(revision), names...)))
 		reader.Advance(revision)
 	}
--- a/directory/config_history.go
+++ b/directory/config_history.go
@@ -8,10 +8,10 @@
 
 // configTransition is a step from one configuration in force to the next.
 type configTransition struct {
-	revision     uint64  // store revision of the new configuration
-	baseRevision uint64  // store revision of the previous configuration
-	baseUntil    uint64  // up to this store revision, the previous configuration was certainly the current one
-	base         *Config // nil, like next, once change has been computed
+	revision     Revision // store revision of the new configuration
+	baseRevision Revision // store revision of the previous configuration
+	baseUntil    Revision // up to this store revision, the previous configuration was certainly the current one
+	base         *Config  // nil, like next, once change has been computed
 	next         *Config
 	change       *ConfigChange // nil if the full configuration is sent instead
 }
@@ -50,13 +50,13 @@
 
 // startsAt reports whether a process that has merged all changes up to a revision has the base of the transition. After
 // baseUntil another configuration may have been in force that this process skipped.
-func (t *configTransition) startsAt(revision uint64) bool {
+func (t *configTransition) startsAt(revision Revision) bool {
 	return t.baseRevision <= revision && revision <= t.baseUntil
 }
 
 // configRecords returns the records that bring a peer from a revision to the current configuration: the changes since
 // that revision in order, or the full configuration if the history does not cover them or they are not smaller.
-func (d *Directory) configRecords(revision uint64) []Record {
+func (d *Directory) configRecords(revision Revision) []Record {
 	full := []Record{{Kind: KindConfig, Revision: d.configRevision, ContentRevision: d.configRevision, Config: d.config}}
 	var records []Record
 	size := 0
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -108,9 +108,9 @@
 // expired target. A record that cannot be used has Refusal set and contains no target and no configuration.
 type Record struct {
 	Kind            Kind
-	Name            string // ID of the target, name of the failure domain, or empty
-	Revision        uint64 // store revision of the last write
-	ContentRevision uint64 `json:",omitempty"` // in a peer's record: revision at which the content last changed
+	Name            string   // ID of the target, name of the failure domain, or empty
+	Revision        Revision // store revision of the last write
+	ContentRevision Revision `json:",omitempty"` // in a peer's record: revision at which the content last changed
 	Removed         bool
 	Expired         bool          `json:",omitempty"` // removed during a store outage and may be renewed shortly
 	Refusal         *Refusal      `json:",omitempty"` // why the record cannot be used; nil if it can
@@ -121,7 +121,7 @@
 
 // View is an immutable view of the deployment state.
 type View struct {
-	Revision   uint64 // store revision up to which the view contains all changes
+	Revision   Revision // store revision up to which the view contains all changes
 	Config     *Config
 	OutDomains []string // failure domains out of service, sorted
 	Refused    []RefusedRecord
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -19,7 +19,7 @@
 	}
 }
 
-func targetRecord(id string, n byte, revision uint64) directory.Record {
+func targetRecord(id string, n byte, revision directory.Revision) directory.Record {
 	return directory.Record{Kind: directory.KindTarget, Name: id, Revision: revision, Target: newTarget(id, n, int64(revision))}
 }
 
@@ -41,7 +41,7 @@
 func TestRecordsMergeInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var records []directory.Record
-		for revision := uint64(1); revision <= 20; revision++ {
+		for revision := directory.Revision(1); revision <= 20; revision++ {
 			id := fmt.Sprintf("i-%d", rapid.IntRange(1, 4).Draw(t, "id"))
 			switch rapid.IntRange(0, 3).Draw(t, "kind") {
 			case 0:
@@ -239,7 +239,7 @@
 // heartbeat, because it contains the remaining cold time.
 func TestHeartbeatsOfColdTargetAreNotChanges(t *testing.T) {
 	d := directory.New()
-	heartbeat := func(revision uint64, left, now time.Duration) bool {
+	heartbeat := func(revision directory.Revision, left, now time.Duration) bool {
 		r := directory.Record{Kind: directory.KindTarget, Name: "i-1", Revision: revision, Target: newTarget("i-1", 1, 1)}
 		r.Target.ColdLeft = left
 		return d.Apply(&r, now)
@@ -249,7 +249,7 @@
 	require.False(t, heartbeat(3, 4*time.Second, 2900*time.Millisecond))
 	d.Advance(3)
 	require.Empty(t, d.ChangesSince(1, 3*time.Second))
-	require.Equal(t, uint64(3), d.ChangesSince(0, 3*time.Second)[0].Revision, "an older record does not replace it")
+	require.Equal(t, directory.Revision(3), d.ChangesSince(0, 3*time.Second)[0].Revision, "an older record does not replace it")
 	require.True(t, heartbeat(4, 4500*time.Millisecond, 3*time.Second), "it stays cold for longer than its last entry said")
 	require.True(t, heartbeat(5, 20*time.Second, 4*time.Second), "it became cold again")
 	require.True(t, heartbeat(6, 0, 5*time.Second), "it is warm")
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -10,13 +10,13 @@
 // available again, so that the target can renew its entry.
 const expiryGracePeriod = 2 * time.Second
 
-// Directory merges records by store revision. The version of the configuration never decreases. A Directory is
+// Directory merges records by store revision, and by era where the store was restored from a backup. The version of the configuration never decreases. A Directory is
 // not safe for concurrent use; its views are.
 type Directory struct {
-	revision        uint64
-	compactRevision uint64 // up to this revision, removals may be missing from entries
+	revision        Revision
+	compactRevision Revision // up to this revision, removals may be missing from entries
 	config          *Config
-	configRevision  uint64
+	configRevision  Revision
 	history         []configTransition // latest transitions to the current configuration, oldest first
 	baseMismatch    bool               // a change could not be applied to the current configuration
 	targets         map[string]*Target
@@ -24,14 +24,16 @@
 	outDomains      map[string]bool
 	formerServices  map[string][]string
 	refused         map[string]RefusedRecord // by entry key
+	era             *eraChange               // nil unless the store was restored just before
+	awaitsConfig    bool                     // the store may lack the configuration in force since it was restored
 	dirty           bool
 	view            *View
 }
 
 // entryRevisions holds the store revisions of the entry of a target or a failure domain.
 type entryRevisions struct {
-	latest  uint64 // of the latest record
-	content uint64 // of the latest record that changed the content and is sent to peers
+	latest  Revision // of the latest record
+	content Revision // of the latest record that changed the content and is sent to peers
 }
 
 // New returns an empty directory.
@@ -57,13 +59,13 @@
 }
 
 // Revision returns the store revision up to which all changes have been merged.
-func (d *Directory) Revision() uint64 { return d.revision }
+func (d *Directory) Revision() Revision { return d.revision }
 
 // Config returns the configuration in force, or nil before the first one.
 func (d *Directory) Config() *Config { return d.config }
 
 // Advance records that all changes up to the revision have been merged.
-func (d *Directory) Advance(revision uint64) {
+func (d *Directory) Advance(revision Revision) {
 	if revision > d.revision {
 		d.revision = revision
 		d.dirty = true
@@ -72,41 +74,42 @@
 
 // CompactRevision returns the revision after which all changes are available. Removals up to it may be missing,
 // so a peer that is behind it needs a snapshot.
-func (d *Directory) CompactRevision() uint64 { return d.compactRevision }
+func (d *Directory) CompactRevision() Revision { return d.compactRevision }
 
 // AdvanceSnapshot is like Advance, after the records of a store snapshot at the revision have been merged.
-func (d *Directory) AdvanceSnapshot(revision uint64) {
+func (d *Directory) AdvanceSnapshot(revision Revision) {
 	d.Advance(revision)
 	d.compactRevision = max(d.compactRevision, revision)
+	d.advanceConfigEra(revision)
 }
 
 // Apply merges one record at a monotonic time and reports whether it changed anything. Records older than the merged
 // ones are ignored.
 func (d *Directory) Apply(r *Record, now time.Duration) bool {
+	if d.isOfUnknownEra(r) {
+		return false
+	}
 	switch r.Kind {
 	case KindConfig:
 		return d.applyConfig(r)
-	case KindTarget:
-		return d.applyTarget(r, now)
-	case KindDomainOut:
-		return d.applyDomainOut(r)
+	case KindTarget, KindDomainOut:
+		key := entryKey(r.Kind, r.Name)
+		return !d.isStale(key, r) && d.mergeOrHold(key, r, now)
 	default:
 		return false
 	}
 }
 
-func (d *Directory) applyTarget(r *Record, now time.Duration) bool {
-	key := targetKeyPrefix + r.Name
-	if d.isStale(key, r) {
-		return false
-	}
+// mergeTarget merges the record of a target. superseded is set if it replaces a record that was held back: peers may
+// hold that one back as well, so they are told even if the content stays the same.
+func (d *Directory) mergeTarget(key string, r *Record, superseded bool, now time.Duration) bool {
 	if r.Refusal != nil {
-		return d.refuse(key, r)
+		return d.refuse(key, r, superseded)
 	}
 	d.clearRefusal(key)
 	current := d.targets[r.Name]
 	if current != nil && current.hasSameContent(r, now) {
-		d.entries[key] = entryRevisions{latest: r.Revision, content: max(r.ContentRevision, d.entries[key].content)}
+		d.entries[key] = d.unchangedRevisions(key, r, superseded)
 		return false
 	}
 	revision := r.Revision
@@ -127,6 +130,15 @@
 	}
 }
 
+// unchangedRevisions returns the revisions of an entry after a record that did not change its content.
+func (d *Directory) unchangedRevisions(key string, r *Record, superseded bool) entryRevisions {
+	revisions := entryRevisions{latest: r.Revision, content: max(r.ContentRevision, d.entries[key].content)}
+	if superseded {
+		revisions.content = r.Revision
+	}
+	return revisions
+}
+
 // maxColdEndAdvance and maxColdEndDelay limit how far a new record may move the end of a target's cold period,
 // earlier and later, and still have the same content. The end is computed from the time at which the record was
 // read, which tends to be late. An earlier end is therefore ignored within a wider limit, while a later one has
@@ -152,12 +164,13 @@
 }
 
 // isStale reports whether the record is not newer than the latest record of the entry and the latest snapshot. An
-// expiry is not compared with the snapshot, because the snapshot does not contain the expired entry either.
+// expiry is not compared with a snapshot of its era, because the snapshot does not contain the expired entry either.
 func (d *Directory) isStale(key string, r *Record) bool {
-	if r.Expired {
-		return r.Revision <= d.entries[key].latest
+	latest := max(d.entries[key].latest, d.heldRevision(key))
+	if r.Expired && r.Revision.Era() >= d.compactRevision.Era() {
+		return r.Revision <= latest
 	}
-	return r.Revision <= max(d.entries[key].latest, d.compactRevision)
+	return r.Revision <= max(latest, d.compactRevision)
 }
 
 // storeTarget adds or replaces a target.
@@ -185,13 +198,9 @@
 	return true
 }
 
-func (d *Directory) applyDomainOut(r *Record) bool {
-	key := domainKeyPrefix + r.Name
-	if d.isStale(key, r) {
-		return false
-	}
+func (d *Directory) mergeDomainOut(key string, r *Record, superseded bool) bool {
 	if r.Refusal != nil {
-		return d.refuse(key, r)
+		return d.refuse(key, r, superseded)
 	}
 	d.clearRefusal(key)
 	d.entries[key] = entryRevisions{latest: r.Revision, content: r.Revision}
--- a/directory/model_test.go
+++ b/directory/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -14,10 +15,20 @@
 
 // storeModel models the platform's store: all records written, in order, and which entries are present.
 type storeModel struct {
-	revision uint64
+	revision directory.Revision
 	records  []directory.Record
 	present  map[string]bool
-	version  int64
+	version  int64 // latest configuration that the operator wrote, also if the store lost it
+	backup   *storeModel
+	restored directory.Revision          // latest revision of the backup from which the store was restored
+	lost     map[string]directory.Record // by name, writes that the store lost and that are not written again yet
+}
+
+// add adds a record. What was lost of its entry before is not written again. Records of configurations have no name.
+func (s *storeModel) add(r directory.Record) {
+	delete(s.lost, r.Name)
+	s.present[r.Name] = !r.Removed
+	s.records = append(s.records, r)
 }
 
 // writeConfig writes a configuration. present and priority select the routes that it contains and those with
@@ -35,8 +46,7 @@
 			config.Routes = append(config.Routes, route)
 		}
 	}
-	s.records = append(s.records, directory.Record{Kind: directory.KindConfig, Revision: s.revision, Config: config})
-	s.present[""] = true // records of configurations have no name
+	s.add(directory.Record{Kind: directory.KindConfig, Revision: s.revision, Config: config})
 }
 
 func (s *storeModel) write(n int, state directory.TargetState, removed bool) {
@@ -46,22 +56,75 @@
 		r = directory.Record{Kind: directory.KindTarget, Name: r.Name, Revision: r.Revision, Removed: true}
 	}
 	s.revision++
-	s.present[r.Name] = !removed
-	s.records = append(s.records, r)
+	s.add(r)
 }
 
 // writeUnusable replaces entry n by one that cannot be used.
 func (s *storeModel) writeUnusable(n int) {
 	s.revision++
 	name := fmt.Sprintf("i-%d", n)
-	s.present[name] = true
-	s.records = append(s.records, directory.Record{
+	s.add(directory.Record{
 		Kind: directory.KindTarget, Name: name, Revision: s.revision, Refusal: &directory.Refusal{Reason: directory.RefusedState},
 	})
 }
 
+// writeDomain takes failure domain d-n out, or returns it.
+func (s *storeModel) writeDomain(n int, removed bool) {
+	s.revision++
+	r := directory.Record{Kind: directory.KindDomainOut, Name: fmt.Sprintf("d-%d", n), Revision: s.revision, Removed: removed}
+	s.add(r)
+}
+
+func (s *storeModel) takeBackup() {
+	s.backup = &storeModel{revision: s.revision, records: slices.Clone(s.records), present: maps.Clone(s.present)}
+}
+
+// restore puts the backup in place: the era rises, and revisions are assigned again.
+func (s *storeModel) restore() {
+	const era = directory.Revision(1 << 48)
+	for _, r := range s.after(s.backup.revision) {
+		s.lost[r.Name] = r
+	}
+	next := (s.revision/era + 1) * era
+	s.revision, s.records, s.present = next+s.backup.revision%era, slices.Clone(s.backup.records), maps.Clone(s.backup.present)
+	for i := range s.records {
+		s.records[i].Revision = next + s.records[i].Revision%era
+	}
+	s.restored = s.revision
+	s.takeBackup() // the next backup has the revisions of the new era
+}
+
+// writeLost writes the lost entries again that are selected.
+func (s *storeModel) writeLost(selected func(name string) bool) {
+	for _, name := range slices.Sorted(maps.Keys(s.lost)) {
+		r := s.lost[name]
+		if !selected(name) {
+			continue
+		}
+		s.revision++
+		r.Revision = s.revision
+		s.add(r)
+	}
+}
+
+// isWrittenAnew reports whether the entry was written since the store was restored.
+func (s *storeModel) isWrittenAnew(name string) bool {
+	return slices.ContainsFunc(s.after(s.restored), func(r directory.Record) bool { return r.Name == name })
+}
+
+// outDomains returns the failure domains that are out of service, in order.
+func (s *storeModel) outDomains() []string {
+	var domains []string
+	for _, r := range s.snapshot() {
+		if r.Kind == directory.KindDomainOut {
+			domains = append(domains, r.Name)
+		}
+	}
+	return domains
+}
+
 // after returns the records after a revision, as a watch of the store does.
-func (s *storeModel) after(revision uint64) []directory.Record {
+func (s *storeModel) after(revision directory.Revision) []directory.Record {
 	var list []directory.Record
 	for _, r := range s.records {
 		if r.Revision > revision {
@@ -115,41 +178,102 @@
 }
 
 // process is the directory of one balancer.
-type process struct{ *directory.Directory }
+type process struct {
+	*directory.Directory
+	era *eraRecord
+}
+
+// eraRecord is what a process held when it learned that the store was restored.
+type eraRecord struct {
+	at      time.Duration
+	entries map[string]directory.TargetState
+	version int64 // of the configuration in force; never decreases
+}
 
 // take merges records that contain all changes up to a revision. expiries is set for a store that has just
 // recovered from an outage, when removals count as expiries.
-func (p process) take(records []directory.Record, revision uint64, expiries bool, now time.Duration) {
+func (p process) take(records []directory.Record, revision directory.Revision, expiries bool, now time.Duration) {
 	for i := range records {
-		records[i].Expired = records[i].Expired || (expiries && records[i].Removed)
+		records[i].Expired = records[i].Expired || (expiries && records[i].Removed && records[i].Kind == directory.KindTarget)
 		p.Apply(&records[i], now)
 	}
 	if !p.TakeBaseMismatch() {
 		p.Advance(revision)
 	}
 	p.RemoveExpired(now)
+	p.EndEraChange(now, now)
 }
 
 // takeSnapshot merges a snapshot at a revision.
-func (p process) takeSnapshot(records []directory.Record, revision uint64, expiries bool, now time.Duration) {
+func (p process) takeSnapshot(records []directory.Record, revision directory.Revision, expiries bool, now time.Duration) {
+	before := p.entries()
+	if _, isNew := p.BeginSnapshot(revision, now); isNew {
+		*p.era = eraRecord{at: now, entries: before, version: p.era.version}
+	}
 	p.take(append(records, p.SnapshotRemovals(records, revision)...), revision, expiries, now)
 	p.AdvanceSnapshot(revision)
 }
 
+// read takes a snapshot of the store. If the store was restored since the process last read, that changes nothing:
+// neither does a target or a failure domain leave, nor come back.
+func (p process) read(t require.TestingT, s *storeModel, expiries bool, now time.Duration) {
+	isRestored := p.Revision() != 0 && p.Revision().Era() < s.revision.Era()
+	p.RemoveExpired(now)
+	entries, out := p.entries(), p.View().OutDomains
+	p.takeSnapshot(s.snapshot(), s.revision, expiries, now)
+	if isRestored {
+		require.Equal(t, entries, p.entries(), "targets after a restoration")
+		require.Equal(t, out, p.View().OutDomains, "failure domains after a restoration")
+	}
+}
+
+// check reports a configuration that goes back, and a former target that is back because a backup says so.
+func (p process) check(t require.TestingT, s *storeModel, now time.Duration) {
+	version := p.era.version
+	if p.Config() != nil {
+		version = p.Config().Version
+	}
+	require.GreaterOrEqual(t, version, p.era.version)
+	p.era.version = version
+	const hold = 4 * time.Second
+	if p.era.entries == nil || now-p.era.at >= hold || p.Revision().Era() < s.revision.Era() {
+		return
+	}
+	for id, state := range p.entries() {
+		if state == directory.TargetReady && p.era.entries[id] != directory.TargetReady {
+			require.True(t, s.isWrittenAnew(id), "%s is back", id)
+		}
+	}
+}
+
 // push sends a peer the changes after base if the peer has merged all changes up to base. If p no longer has all
 // changes that the peer lacks, it sends a snapshot instead.
-func (p process) push(to process, base uint64, now time.Duration) {
+func (p process) push(to process, base directory.Revision, now time.Duration) {
 	switch {
-	case to.Revision() < p.CompactRevision():
+	case p.Revision().Era() < to.Revision().Era():
+	case to.Revision() < p.CompactRevision() || to.Revision().Era() < p.Revision().Era():
+		isNew := to.Revision().Era() < p.Revision().Era()
 		to.takeSnapshot(p.ChangesSince(0, now), p.Revision(), false, now)
+		for id, state := range p.era.entries { // of the former era
+			if isNew && to.era.entries != nil && state == directory.TargetReady {
+				to.era.entries[id] = state
+			}
+		}
 	case base <= to.Revision():
-		to.take(p.ChangesSince(max(base, p.CompactRevision()), now), p.Revision(), false, now)
+		records := p.ChangesSince(max(base, p.CompactRevision()), now)
+		to.take(records, p.Revision(), false, now)
+		if to.Revision() < p.Revision() { // a change of the configuration has another base
+			to.takeSnapshot(p.ChangesSince(0, now), p.Revision(), false, now)
+		}
 	}
 }
 
 // pushPartially sends a peer only the first records of the changes after base, as if the datagrams with the others
 // were lost.
-func (p process) pushPartially(to process, base uint64, records int, now time.Duration) {
+func (p process) pushPartially(to process, base directory.Revision, records int, now time.Duration) {
+	if p.Revision().Era() < to.Revision().Era() {
+		return
+	}
 	list := p.ChangesSince(max(base, p.CompactRevision()), now)
 	for i := range list[:min(records, len(list))] {
 		to.Apply(&list[i], now)
@@ -164,18 +288,28 @@
 	return states
 }
 
+// drawBase draws a revision of the process's era, or 0.
+func drawBase(t *rapid.T, p process) directory.Revision {
+	number := rapid.IntRange(0, int(p.Revision().Number())).Draw(t, "base")
+	if number == 0 {
+		return 0
+	}
+	return p.Revision() - directory.Revision(int(p.Revision().Number())-number)
+}
+
 // Checks that all processes hold exactly the entries of the store, their states and the routes in force, once one
 // process has read all changes, its updates have arrived and the grace period of expired entries is over. This
 // must not depend on which processes read the store before, how and how late they did, and which removals counted
-// as expiries.
+// as expiries. The store may be restored from a backup: then nothing in use is lost, nothing comes back, and the lost
+// writes may be written again at any time.
 func TestModelOfTheView(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const entries, processes, routes = 4, 3, 5
+		const entries, processes, routes, domains = 4, 3, 5, 2
 		now := time.Second
-		store := &storeModel{present: make(map[string]bool)}
+		store := &storeModel{present: make(map[string]bool), lost: make(map[string]directory.Record)}
 		var all [processes]process
 		for i := range all {
-			all[i] = process{directory.New()}
+			all[i] = process{Directory: directory.New(), era: &eraRecord{}}
 		}
 		anyProcess := func(name string) process { return all[rapid.IntRange(0, processes-1).Draw(t, name)] }
 		t.Repeat(map[string]func(*rapid.T){
@@ -191,33 +325,60 @@
 			"entry is removed":          func(t *rapid.T) { store.write(rapid.IntRange(1, entries).Draw(t, "entry"), 0, true) },
 			"time passes":               func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond },
 			"watch": func(t *rapid.T) {
-				p := anyProcess("process")
-				p.take(store.after(p.Revision()), store.revision, rapid.Bool().Draw(t, "expiries"), now)
+				p, expiries := anyProcess("process"), rapid.Bool().Draw(t, "expiries")
+				if p.Revision().Era() < store.revision.Era() {
+					p.read(t, store, expiries, now)
+				} else {
+					p.take(store.after(p.Revision()), store.revision, expiries, now)
+				}
 			},
 			"read snapshot": func(t *rapid.T) {
-				anyProcess("process").takeSnapshot(store.snapshot(), store.revision, rapid.Bool().Draw(t, "expiries"), now)
+				anyProcess("process").read(t, store, rapid.Bool().Draw(t, "expiries"), now)
+			},
+			"failure domain is written": func(t *rapid.T) {
+				store.writeDomain(rapid.IntRange(1, domains).Draw(t, "domain"), rapid.Bool().Draw(t, "removed"))
+			},
+			"a backup is taken": func(*rapid.T) { store.takeBackup() },
+			"the store comes back from it": func(t *rapid.T) {
+				if store.backup != nil {
+					store.restore()
+				}
+			},
+			"lost writes are written again": func(t *rapid.T) {
+				store.writeLost(func(name string) bool { return rapid.Bool().Draw(t, name) })
+			},
+			"": func(t *rapid.T) {
+				for _, p := range all {
+					p.check(t, store, now)
+				}
 			},
 			"removals are pruned": func(t *rapid.T) { anyProcess("process").PruneTombstones(0) },
 			"push partially": func(t *rapid.T) {
 				from := anyProcess("from")
-				base := uint64(rapid.IntRange(0, int(from.Revision())).Draw(t, "base"))
+				base := drawBase(t, from)
 				from.pushPartially(anyProcess("to"), base, rapid.IntRange(0, entries).Draw(t, "records"), now)
 			},
 			"push": func(t *rapid.T) {
 				from := anyProcess("from")
-				from.push(anyProcess("to"), uint64(rapid.IntRange(0, int(from.Revision())).Draw(t, "base")), now)
+				from.push(anyProcess("to"), drawBase(t, from), now)
 			},
 		})
+		store.writeLost(func(name string) bool { return name == "" }) // the operator's configuration
 		reader := all[0]
+		if reader.Revision().Era() < store.revision.Era() {
+			reader.read(t, store, false, now)
+		}
 		reader.take(store.after(reader.Revision()), store.revision, false, now)
 		for _, p := range all[1:] {
 			reader.push(p, p.Revision(), now)
 		}
-		now += 3 * time.Second
-		for _, p := range all {
+		now += 5 * time.Second
+		for i, p := range all {
 			p.RemoveExpired(now)
-			require.Equal(t, store.entries(), p.entries())
+			p.EndEraChange(now, now)
+			require.Equal(t, store.entries(), p.entries(), "process %d", i)
 			require.ElementsMatch(t, store.routes(), p.routes())
+			require.ElementsMatch(t, store.outDomains(), p.View().OutDomains, "process %d", i)
 		}
 	})
 }
--- a/directory/refusal.go
+++ b/directory/refusal.go
@@ -35,7 +35,7 @@
 type RefusedRecord struct {
 	Kind     Kind
 	Name     string
-	Revision uint64 // at which the refusal was first seen
+	Revision Revision // at which the refusal was first seen
 	Refusal  Refusal
 }
 
@@ -67,7 +67,7 @@
 
 // refuse handles a record of a target or a failure domain that cannot be used: what its entry said before no longer
 // holds. Peers are told once, not each time the entry is written.
-func (d *Directory) refuse(key string, r *Record) bool {
+func (d *Directory) refuse(key string, r *Record, superseded bool) bool {
 	changed := d.noteRefusal(key, r)
 	if d.targets[r.Name] != nil && r.Kind == KindTarget {
 		delete(d.targets, r.Name)
@@ -77,17 +77,13 @@
 		delete(d.outDomains, r.Name)
 		d.dirty, changed = true, true
 	}
-	revisions := entryRevisions{latest: r.Revision, content: max(r.ContentRevision, d.entries[key].content)}
-	if changed {
-		revisions.content = r.Revision
-	}
-	d.entries[key] = revisions
+	d.entries[key] = d.unchangedRevisions(key, r, changed || superseded)
 	return changed
 }
 
 // refusedConfigRecord returns the record of a refused configuration that is newer than the revision and than the one in
 // force.
-func (d *Directory) refusedConfigRecord(revision uint64) (Record, bool) {
+func (d *Directory) refusedConfigRecord(revision Revision) (Record, bool) {
 	refused, listed := d.refused[configEntryKey]
 	if !listed || refused.Revision <= revision {
 		return Record{}, false
--- a/directory/refusal_test.go
+++ b/directory/refusal_test.go
@@ -10,7 +10,7 @@
 	"github.com/cowslipward/cowslipward/directory"
 )
 
-func refusedRecord(kind directory.Kind, name string, revision uint64, reason directory.RefusalReason) directory.Record {
+func refusedRecord(kind directory.Kind, name string, revision directory.Revision, reason directory.RefusalReason) directory.Record {
 	return directory.Record{Kind: kind, Name: name, Revision: revision, Refusal: &directory.Refusal{Reason: reason}}
 }
 
@@ -28,7 +28,7 @@
 	apply(peer, 0, d.ChangesSince(1, 0)...)
 	require.Zero(t, peer.View().TargetCount())
 	require.Equal(t, d.View().Refused, peer.View().Refused, "peers learn of the refusal")
-	for revision := uint64(3); revision < 6; revision++ {
+	for revision := directory.Revision(3); revision < 6; revision++ {
 		odd.Revision = revision
 		require.False(t, d.Apply(&odd, 0))
 		d.Advance(revision)
@@ -88,7 +88,7 @@
 func TestListOfRefusedEntriesIsBounded(t *testing.T) {
 	d := directory.New()
 	for n := range 1000 {
-		apply(d, 0, refusedRecord(directory.KindTarget, fmt.Sprintf("i-%d", n), uint64(n+1), directory.RefusedState))
+		apply(d, 0, refusedRecord(directory.KindTarget, fmt.Sprintf("i-%d", n), directory.Revision(n+1), directory.RefusedState))
 	}
 	require.Len(t, d.View().Refused, 256)
 }
@@ -103,7 +103,7 @@
 	config := func(version int64, services ...directory.Service) directory.Record {
 		c := configWithRoutes(version, "a")
 		c.Services = services
-		return configRecord(uint64(version)+2, c)
+		return configRecord(directory.Revision(version)+2, c)
 	}
 	apply(d, time.Second, config(1, directory.Service{Name: "bench"}))
 	view := d.View()
--- a/directory/replication.go
+++ b/directory/replication.go
@@ -9,7 +9,7 @@
 
 // SnapshotRemovals returns removal records for the targets, out-of-service failure domains and refused entries that the
 // directory holds but that are absent from the records of a store snapshot at a revision.
-func (d *Directory) SnapshotRemovals(records []Record, revision uint64) []Record {
+func (d *Directory) SnapshotRemovals(records []Record, revision Revision) []Record {
 	present := presentKeys(records)
 	var removals []Record
 	for id := range d.targets {
@@ -18,7 +18,7 @@
 		}
 	}
 	for domain := range d.outDomains {
-		if key := entryKey(KindDomainOut, domain); !present[key] && d.entries[key].latest < revision {
+		if key := entryKey(KindDomainOut, domain); !present[key] && d.entries[key].latest < revision && !d.isRemovalHeld(key) {
 			removals = append(removals, Record{Kind: KindDomainOut, Name: domain, Revision: revision, Removed: true})
 		}
 	}
@@ -27,16 +27,16 @@
 			removals = append(removals, Record{Kind: r.Kind, Name: r.Name, Revision: revision, Removed: true})
 		}
 	}
-	return removals
+	return append(removals, d.heldRemovals(present, revision)...)
 }
 
-// presentKeys returns the keys of the entries that a snapshot contains.
+// presentKeys returns the keys of the entries that a snapshot contains. A peer's may have two records of an entry, the
+// later one of which the peer holds back.
 func presentKeys(records []Record) map[string]bool {
 	present := make(map[string]bool, len(records))
 	for i := range records {
-		if r := &records[i]; !r.Removed || r.Expired {
-			present[entryKey(r.Kind, r.Name)] = true
-		}
+		r := &records[i]
+		present[entryKey(r.Kind, r.Name)] = !r.Removed || r.Expired
 	}
 	return present
 }
@@ -69,11 +69,12 @@
 // ChangesSince returns the latest record of each entry that changed after a revision, including removals, in the
 // order of the changes. Remaining cold times are as of now. If the revision is below CompactRevision, removals
 // may be missing, so the result must be treated as a snapshot.
-func (d *Directory) ChangesSince(revision uint64, now time.Duration) []Record {
+func (d *Directory) ChangesSince(revision Revision, now time.Duration) []Record {
 	var records []Record
 	if d.config != nil && d.configRevision > revision {
 		records = append(records, d.configRecords(revision)...)
 	}
+	records = append(records, d.carriedConfig(revision)...)
 	if refused, ok := d.refusedConfigRecord(revision); ok {
 		records = append(records, refused)
 	}
@@ -84,12 +85,13 @@
 			records = append(records, record)
 		}
 	}
+	records = append(records, d.heldChanges(revision)...)
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.ContentRevision, b.ContentRevision) })
 	return records
 }
 
 // record returns the latest record of a target or a failure domain. Its remaining cold time is as of now.
-func (d *Directory) record(key string, revision uint64, now time.Duration) Record {
+func (d *Directory) record(key string, revision Revision, now time.Duration) Record {
 	if refused, listed := d.refused[key]; listed {
 		return Record{Kind: refused.Kind, Name: refused.Name, Revision: revision, Refusal: &refused.Refusal}
 	}
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -25,7 +25,7 @@
 type fleet struct {
 	t        *testing.T
 	dir      *directory.Directory
-	revision uint64
+	revision directory.Revision
 	coldRate float64 // of the services in later configurations
 }
 
--- a/forward/balancer_status.go
+++ b/forward/balancer_status.go
@@ -13,7 +13,8 @@
 	view := b.dispatcher.View()
 	status := packetstatus.Balancer{
 		Domain:     b.config.Domain,
-		Revision:   view.Revision,
+		Revision:   view.Revision.Number(),
+		StoreEra:   view.Revision.Era(),
 		ViewAgeMS:  (now - b.dispatcher.ConfirmedAt()).Milliseconds(),
 		Flows:      b.dispatcher.FlowCount(),
 		OutDomains: view.OutDomains,
@@ -24,7 +25,7 @@
 	}
 	for _, r := range view.Refused {
 		status.Refused = append(status.Refused, packetstatus.Refused{
-			Kind: r.Kind.String(), Name: r.Name, Revision: r.Revision, Reason: string(r.Refusal.Reason), Detail: r.Refusal.Detail,
+			Kind: r.Kind.String(), Name: r.Name, Revision: r.Revision.Number(), StoreEra: r.Revision.Era(), Reason: string(r.Refusal.Reason), Detail: r.Refusal.Detail,
 		})
 	}
 	return status
--- a/forward/fuzz_internal_test.go
+++ b/forward/fuzz_internal_test.go
@@ -72,7 +72,7 @@
 	}}}, 0)
 	for n, name := range []string{"i", "j"} {
 		address := flow.Endpoint{IP: [4]byte{127, 0, 0, byte(n + 1)}, Port: 17700}
-		dir.Apply(&directory.Record{Kind: directory.KindTarget, Name: name, Revision: uint64(n) + 2, Target: &directory.Target{
+		dir.Apply(&directory.Record{Kind: directory.KindTarget, Name: name, Revision: directory.Revision(n) + 2, Target: &directory.Target{
 			ID: name, Service: "bench", Address: address, Domain: "a", Slots: 2, State: directory.TargetReady,
 		}}, 0)
 	}
--- a/forward/testbed_test.go
+++ b/forward/testbed_test.go
@@ -37,7 +37,7 @@
 	t         *testing.T
 	ledger    *platformtest.Ledger
 	directory *directory.Directory
-	revision  uint64
+	revision  directory.Revision
 	balancers []*forward.Balancer
 	agents    []*forward.Agent
 	targets   []*platformtest.Target
--- a/internal/ctl/packets.go
+++ b/internal/ctl/packets.go
@@ -97,20 +97,20 @@
 }
 
 func printBalancers(w io.Writer, balancers []packetstatus.Balancer) {
-	fmt.Fprintln(w, "BALANCER\tDOMAIN\tREADY\tVERSION\tREVISION\tVIEW AGE\tREADS\tPEERS\tFLOWS\tTARGETS\tREFUSED\tOUT")
+	fmt.Fprintln(w, "BALANCER\tDOMAIN\tREADY\tVERSION\tERA\tREVISION\tVIEW AGE\tREADS\tPEERS\tFLOWS\tTARGETS\tREFUSED\tOUT")
 	for _, b := range balancers {
 		age := time.Duration(b.ViewAgeMS) * time.Millisecond
-		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%s\t%t\t%d\t%d\t%d\t%d\t%s\n", b.VM, b.Domain, b.Ready, b.Version, b.Revision, age,
+		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%d\t%s\t%t\t%d\t%d\t%d\t%d\t%s\n", b.VM, b.Domain, b.Ready, b.Version, b.StoreEra, b.Revision, age,
 			b.Reading, b.Peers, b.Flows, len(b.Targets), len(b.Refused), strings.Join(b.OutDomains, ","))
 	}
 }
 
 // printRefused prints the entries that balancers do not use. Their names come from other writers and are quoted.
 func printRefused(w io.Writer, balancers []packetstatus.Balancer) {
-	fmt.Fprintln(w, "BALANCER\tKIND\tNAME\tREVISION\tREASON\tDETAIL")
+	fmt.Fprintln(w, "BALANCER\tKIND\tNAME\tERA\tREVISION\tREASON\tDETAIL")
 	for _, b := range balancers {
 		for _, r := range b.Refused {
-			fmt.Fprintf(w, "%s\t%s\t%q\t%d\t%s\t%q\n", b.VM, r.Kind, r.Name, r.Revision, r.Reason, r.Detail)
+			fmt.Fprintf(w, "%s\t%s\t%q\t%d\t%d\t%s\t%q\n", b.VM, r.Kind, r.Name, r.StoreEra, r.Revision, r.Reason, r.Detail)
 		}
 	}
 }
--- a/packetstatus/packetstatus.go
+++ b/packetstatus/packetstatus.go
@@ -20,6 +20,7 @@
 	Ready      bool      `json:"ready"`
 	Version    int64     `json:"version"`     // version of the configuration in force
 	Revision   uint64    `json:"revision"`    // revision of the store that the view reflects
+	StoreEra   uint16    `json:"store_era"`   // era of that revision; 0: the store names none
 	ViewAgeMS  int64     `json:"view_age_ms"` // time since the store confirmed that the view is current
 	Reading    bool      `json:"reading"`     // this balancer reads the store on behalf of its peers
 	Peers      int       `json:"peers"`
@@ -33,7 +34,8 @@
 type Refused struct {
 	Kind     string `json:"kind"` // config, target or domain_out
 	Name     string `json:"name"`
-	Revision uint64 `json:"revision"` // of the store, at which it was first refused
+	Revision uint64 `json:"revision"`  // of the store, at which it was first refused
+	StoreEra uint16 `json:"store_era"` // of that revision
 	Reason   string `json:"reason"`
 	Detail   string `json:"detail"`
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -19,7 +19,7 @@
 	d := directory.New()
 	for n := range count {
 		id := fmt.Sprintf("i-%d", n)
-		d.Apply(&directory.Record{Kind: directory.KindTarget, Name: id, Revision: uint64(n + 1), Target: &directory.Target{
+		d.Apply(&directory.Record{Kind: directory.KindTarget, Name: id, Revision: directory.Revision(n + 1), Target: &directory.Target{
 			ID: id, Service: "bench", Address: flow.Endpoint{IP: ip(n), Port: 80}, Slots: slots,
 			Domain: domains[n%len(domains)], State: directory.TargetReady,
 		}}, time.Second)
--- a/viewsync/fetch.go
+++ b/viewsync/fetch.go
@@ -27,22 +27,30 @@
 // fetchResponse is the response of a peer to a fetch.
 type fetchResponse struct {
 	snapshot bool // records is a snapshot; otherwise all changes after the requested revision
-	revision uint64
+	revision directory.Revision
 	age      time.Duration // time since the store confirmed the view
 	records  []directory.Record
 }
 
-// fetchResponseVersion is the first byte of each encoded fetchResponse.
-const fetchResponseVersion = 1
+// The first byte of each encoded fetchResponse. Processes of versions without eras refuse the second, as they do a
+// kindEraUpdate.
+const (
+	fetchResponseVersion    = 1
+	fetchResponseEraVersion = 2 // the revisions contain an era
+)
 
 var errInvalidFetchResponse = errors.New("invalid fetch response from peer")
 
 // encode returns the response without the records that cannot be encoded, and the errors of those.
 func (r *fetchResponse) encode() (encoded []byte, failed []error) {
 	out := cryptobyte.NewBuilder(nil)
-	out.AddUint8(fetchResponseVersion)
+	if r.revision.Era() > 0 {
+		out.AddUint8(fetchResponseEraVersion)
+	} else {
+		out.AddUint8(fetchResponseVersion)
+	}
 	out.AddUint8(flag(r.snapshot, 1))
-	out.AddUint64(r.revision)
+	out.AddUint64(uint64(r.revision))
 	out.AddUint32(millis(r.age))
 	failed = appendRecords(out, r.records)
 	return out.BytesOrPanic(), failed // no field of a fixed size can fail
@@ -52,8 +60,8 @@
 	r := &fetchResponse{}
 	s := cryptobyte.String(encoded)
 	var version, snapshot uint8
-	ok := s.ReadUint8(&version) && version == fetchResponseVersion && s.ReadUint8(&snapshot) && s.ReadUint64(&r.revision) && readMillis(&s, &r.age)
-	if !ok {
+	ok := s.ReadUint8(&version) && fetchResponseVersion <= version && version <= fetchResponseEraVersion && s.ReadUint8(&snapshot) && readRevision(&s, &r.revision) && readMillis(&s, &r.age)
+	if !ok || (version == fetchResponseVersion && r.revision.Era() > 0) {
 		return nil, errInvalidFetchResponse
 	}
 	r.snapshot = snapshot == 1
@@ -75,6 +83,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.acceptsFetched(response) {
+		return false
+	}
 	confirmedAt := requestedAt - response.age
 	if s.confirmedAt != 0 {
 		s.startOutageGrace(s.confirmedAt, requestedAt)
@@ -89,7 +100,7 @@
 }
 
 // fetchBase returns the revision after which a fetch requests records; 0 requests all records.
-func (s *Syncer) fetchBase() uint64 {
+func (s *Syncer) fetchBase() directory.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.needSnapshot {
@@ -99,7 +110,7 @@
 }
 
 func (s *Syncer) requestRecords(ctx context.Context, peer netip.AddrPort) (*fetchResponse, error) {
-	address := fmt.Sprintf("http://%s%s?after=%d", peer, recordsPath, s.fetchBase())
+	address := fmt.Sprintf("http://%s%s?after=%d", peer, recordsPath, uint64(s.fetchBase()))
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return nil, err
@@ -143,7 +154,7 @@
 		}
 		s.mu.Lock()
 		now := s.config.Now()
-		response := s.buildFetchResponse(after, now)
+		response := s.buildFetchResponse(directory.Revision(after), now)
 		s.mu.Unlock()
 		encoded, failed := response.encode()
 		s.reportUnencodable(failed)
@@ -157,8 +168,8 @@
 
 // buildFetchResponse returns the changes after a revision, or a snapshot if some of these changes are no
 // longer known. The caller must hold s.mu.
-func (s *Syncer) buildFetchResponse(after uint64, now time.Duration) fetchResponse {
-	response := fetchResponse{snapshot: after < s.directory.CompactRevision(), revision: s.directory.Revision(), age: now - s.confirmedAt}
+func (s *Syncer) buildFetchResponse(after directory.Revision, now time.Duration) fetchResponse {
+	response := fetchResponse{snapshot: s.needsSnapshot(after), revision: s.directory.Revision(), age: now - s.confirmedAt}
 	if response.snapshot {
 		after = 0
 	}
@@ -166,6 +177,12 @@
 	return response
 }
 
+// needsSnapshot reports whether a peer that has all changes up to a revision needs a snapshot: some of the later changes
+// are no longer known, or the revision is of an earlier era. The caller must hold s.mu.
+func (s *Syncer) needsSnapshot(after directory.Revision) bool {
+	return after < s.directory.CompactRevision() || after.Era() < s.directory.Revision().Era()
+}
+
 // newFetchClient returns the HTTP client for fetches. Its connections originate from the local address.
 func newFetchClient(local netip.Addr) *http.Client {
 	dialer := &net.Dialer{Timeout: fetchTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
--- a/viewsync/fleet_test.go
+++ b/viewsync/fleet_test.go
@@ -59,6 +59,9 @@
 	view        *directory.View
 	confirmedAt time.Duration
 	versions    []int64
+	views       []*directory.View // all that differ from the one before
+
+	running sync.Mutex // held by a test to pause the process
 }
 
 // startNode starts a Syncer. Its requests to the store originate from the node's own loopback address, as
@@ -110,8 +113,13 @@
 }
 
 func (n *node) publish(view *directory.View, confirmedAt time.Duration) {
+	n.running.Lock()
+	defer n.running.Unlock()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.view != view {
+		n.views = append(n.views, view)
+	}
 	n.view, n.confirmedAt = view, confirmedAt
 	if view.Config != nil {
 		n.versions = append(n.versions, view.Config.Version)
--- a/viewsync/message.go
+++ b/viewsync/message.go
@@ -19,6 +19,9 @@
 	kindHello   kind = iota + 1 // heartbeat of the sender
 	kindUpdate                  // recent changes of the store
 	kindConfirm                 // request to confirm the view against the store now
+	// kindEraUpdate is a kindUpdate on the wire if its revisions contain an era. Processes of versions without eras
+	// refuse it: they would take its revisions for those of the store, and nothing that they read afterwards for newer.
+	kindEraUpdate
 )
 
 // message is a UDP datagram exchanged between peers.
@@ -29,15 +32,15 @@
 	Members    []member // peers known to the sender
 
 	// Fields of an update.
-	Forward        bool           // the receiver forwards it to the other processes of its failure domain
-	RecordsOmitted bool           // Records did not fit and must be fetched
-	Part           uint8          // index of this message among those of the update
-	Parts          uint8          // number of messages of the update
-	Reader         netip.AddrPort // process that read the store
-	Sequence       uint32         // number of the update, assigned by the reader
-	Base           uint64         // Records contains all changes after this revision
-	Revision       uint64         // up to and including this one
-	Age            time.Duration  // time since the store confirmed the view
+	Forward        bool               // the receiver forwards it to the other processes of its failure domain
+	RecordsOmitted bool               // Records did not fit and must be fetched
+	Part           uint8              // index of this message among those of the update
+	Parts          uint8              // number of messages of the update
+	Reader         netip.AddrPort     // process that read the store
+	Sequence       uint32             // number of the update, assigned by the reader
+	Base           directory.Revision // Records contains all changes after this revision
+	Revision       directory.Revision // up to and including this one
+	Age            time.Duration      // time since the store confirmed the view
 	Records        []directory.Record
 }
 
@@ -71,7 +74,7 @@
 func (m *message) encodeWith(records []directory.Record, recordsOmitted bool) ([]byte, error) {
 	b := cryptobyte.NewBuilder(nil)
 	b.AddUint8(messageVersion)
-	b.AddUint8(uint8(m.Kind))
+	b.AddUint8(uint8(m.wireKind()))
 	b.AddUint8(flag(m.Forward, flagForward) | flag(m.WantsPeers, flagWantsPeers) | flag(recordsOmitted, flagRecordsOmitted))
 	b.AddUint32(m.Domain)
 	members := m.Members[:min(len(m.Members), maxMembers)]
@@ -86,14 +89,21 @@
 		b.AddUint32(m.Sequence)
 		b.AddUint8(m.Part)
 		b.AddUint8(m.Parts)
-		b.AddUint64(m.Base)
-		b.AddUint64(m.Revision)
+		b.AddUint64(uint64(m.Base))
+		b.AddUint64(uint64(m.Revision))
 		b.AddUint32(millis(m.Age))
 		_ = appendRecords(b, records) // splitRecords has left out and reported what cannot be encoded
 	}
 	return b.Bytes()
 }
 
+func (m *message) wireKind() kind {
+	if m.Kind == kindUpdate && m.Revision.Era() > 0 {
+		return kindEraUpdate
+	}
+	return m.Kind
+}
+
 func flag(set bool, bit uint8) uint8 {
 	if set {
 		return bit
@@ -120,7 +130,7 @@
 	ok := s.ReadUint8(&version) && version == messageVersion && s.ReadUint8(&messageKind) && s.ReadUint8(&flags) &&
 		s.ReadUint32(&m.Domain) && s.ReadUint8(&count)
 	m.Kind = kind(messageKind)
-	if !ok || m.Kind < kindHello || m.Kind > kindConfirm || count > maxMembers {
+	if !ok || m.Kind < kindHello || m.Kind > kindEraUpdate || count > maxMembers {
 		return nil, errInvalidMessage
 	}
 	m.Forward, m.WantsPeers, m.RecordsOmitted = flags&flagForward != 0, flags&flagWantsPeers != 0, flags&flagRecordsOmitted != 0
@@ -133,12 +143,16 @@
 		}
 		p.Age = time.Duration(age) * time.Millisecond
 	}
-	if m.Kind != kindUpdate {
+	if m.Kind != kindUpdate && m.Kind != kindEraUpdate {
 		return m, nil
 	}
-	if !readAddress(&s, &m.Reader) || !s.ReadUint32(&m.Sequence) || !s.ReadUint8(&m.Part) || !s.ReadUint8(&m.Parts) || !s.ReadUint64(&m.Base) || !s.ReadUint64(&m.Revision) || !readMillis(&s, &m.Age) {
+	if !readAddress(&s, &m.Reader) || !s.ReadUint32(&m.Sequence) || !s.ReadUint8(&m.Part) || !s.ReadUint8(&m.Parts) || !readRevision(&s, &m.Base) || !readRevision(&s, &m.Revision) || !readMillis(&s, &m.Age) {
+		return nil, errInvalidMessage
+	}
+	if m.Kind == kindUpdate && m.Revision.Era() > 0 {
 		return nil, errInvalidMessage
 	}
+	m.Kind = kindUpdate
 	var err error
 	m.Records, err = readRecords(s)
 	return m, err
--- a/viewsync/message_internal_test.go
+++ b/viewsync/message_internal_test.go
@@ -64,7 +64,7 @@
 	records := func(count int) []directory.Record {
 		list := make([]directory.Record, count)
 		for n := range list {
-			list[n] = directory.Record{Kind: directory.KindDomainOut, Name: fmt.Sprintf("domain-%04d", n), Revision: uint64(n)}
+			list[n] = directory.Record{Kind: directory.KindDomainOut, Name: fmt.Sprintf("domain-%04d", n), Revision: directory.Revision(n)}
 		}
 		return list
 	}
@@ -145,7 +145,7 @@
 		return c
 	}
 	d := directory.New()
-	for revision := range uint64(2) {
+	for revision := range directory.Revision(2) {
 		d.Apply(&directory.Record{Kind: directory.KindConfig, Revision: revision + 1, Config: config(int64(revision)+1, int(revision))}, 0)
 		d.Advance(revision + 1)
 	}
--- a/viewsync/peers.go
+++ b/viewsync/peers.go
@@ -223,11 +223,19 @@
 	}
 	s.mu.Lock()
 	now := s.config.Now()
-	s.updateReader(m.Reader, now)
+	if era := m.Revision.Era(); era < s.era() {
+		s.mu.Unlock()
+		olderEraUpdates.Inc()
+		s.finishUpdate(m, now) // processes of versions without eras use it
+		return
+	}
+	s.updateReader(m.Reader, m.Revision.Era(), now)
 	confirmedAt := now - m.Age - networkDelayMargin
 	yield := m.Reader.Compare(s.config.Self) < 0 && confirmedAt > s.confirmedAt-readerTimeout
 	state := s.parts.track(m)
-	isComplete := state == partsComplete && !m.RecordsOmitted && m.Base <= s.directory.Revision()
+	isNewEra := s.isNewEra(m.Revision)
+	s.needSnapshot = s.needSnapshot || isNewEra
+	isComplete := !isNewEra && state == partsComplete && !m.RecordsOmitted && m.Base <= s.directory.Revision()
 	isBehind := s.directory.Revision() < m.Revision
 	merged := false
 	if isComplete || !isBehind {
@@ -240,7 +248,7 @@
 		s.setReader(false)
 	}
 	s.mu.Unlock()
-	if merged || state == partsPending {
+	if merged || (state == partsPending && !isNewEra) {
 		s.finishUpdate(m, now)
 		return
 	}
@@ -248,14 +256,14 @@
 }
 
 // updateReader records the originator of an update as the current reader. Of several live readers, the one with
-// the lowest address remains the reader, so confirmations are requested from that one. The caller must hold
-// s.mu.
-func (s *Syncer) updateReader(reader netip.AddrPort, now time.Duration) {
-	readerAlive := s.reader.IsValid() && now-s.readerSeenAt < s.readerTimeout
+// the lowest address remains the reader, so confirmations are requested from that one; a reader of a newer era of the
+// store replaces it. The caller must hold s.mu.
+func (s *Syncer) updateReader(reader netip.AddrPort, era uint16, now time.Duration) {
+	readerAlive := era <= s.readerEra && s.reader.IsValid() && now-s.readerSeenAt < s.readerTimeout
 	if readerAlive && s.reader.Compare(reader) < 0 {
 		return
 	}
-	s.reader, s.readerSeenAt = reader, now
+	s.reader, s.readerEra, s.readerSeenAt = reader, era, now
 }
 
 // fetchInBackground fetches the records missing from an update, unless a fetch is already running. It does
--- a/viewsync/read.go
+++ b/viewsync/read.go
@@ -34,6 +34,9 @@
 // Run keeps the view current until ctx is done.
 func (s *Syncer) Run(ctx context.Context) {
 	s.loadInitialView(ctx)
+	if s.revision().Era() > 0 {
+		go s.fetchAfterStart(ctx)
+	}
 	go s.runConfirmations(ctx)
 	for ctx.Err() == nil {
 		if pause := s.untilReaderTimeout(); pause > 0 {
@@ -106,6 +109,9 @@
 		s.config.Log.Warn("store_history_gone", "revision", s.revision())
 		return s.readSnapshot(ctx)
 	}
+	if errors.Is(err, platform.ErrEraChanged) {
+		return s.readSnapshot(ctx)
+	}
 	return err
 }
 
@@ -133,7 +139,7 @@
 	}
 }
 
-func (s *Syncer) revision() uint64 {
+func (s *Syncer) revision() directory.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.directory.Revision()
@@ -150,6 +156,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if response.Revision.Era() < s.era() {
+		return refuseOlderEra()
+	}
 	s.onStoreSuccess(response.Revision)
 	s.mergeSnapshot(response.Records, response.Revision, requestedAt)
 	return nil
@@ -168,6 +177,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if response.Revision.Era() < s.era() {
+		return refuseOlderEra() // a peer has brought a newer one in the meantime
+	}
 	if elapsed := s.config.Now() - requestedAt; len(response.Records) == 0 && response.Ignored == 0 && elapsed >= limit {
 		requestedAt += limit
 	}
@@ -181,7 +193,7 @@
 
 // onStoreSuccess handles a successful store request: it ends the backoff and starts the grace period if the
 // request ended an outage. The caller must hold s.mu.
-func (s *Syncer) onStoreSuccess(revision uint64) {
+func (s *Syncer) onStoreSuccess(revision directory.Revision) {
 	now := s.config.Now()
 	if s.storeReadAt != 0 {
 		s.startOutageGrace(max(s.storeReadAt, s.confirmedAt), now)
--- a/viewsync/reader_internal_test.go
+++ b/viewsync/reader_internal_test.go
@@ -15,11 +15,11 @@
 	lowest := netip.MustParseAddrPort("10.0.0.1:1")
 	other := netip.MustParseAddrPort("10.0.0.2:1")
 	s := &Syncer{readerTimeout: readerTimeout}
-	s.updateReader(other, time.Second)
+	s.updateReader(other, 0, time.Second)
 	require.Equal(t, other, s.reader)
-	s.updateReader(lowest, time.Second)
-	s.updateReader(other, time.Second+100*time.Millisecond)
+	s.updateReader(lowest, 0, time.Second)
+	s.updateReader(other, 0, time.Second+100*time.Millisecond)
 	require.Equal(t, lowest, s.reader)
-	s.updateReader(other, time.Second+readerTimeout)
+	s.updateReader(other, 0, time.Second+readerTimeout)
 	require.Equal(t, other, s.reader, "updates from the lowest reader have stopped")
 }
--- a/viewsync/record.go
+++ b/viewsync/record.go
@@ -56,8 +56,8 @@
 	b.AddUint8(flag(r.Removed, flagRemoved) | flag(r.Expired, flagExpired) | flag(r.Target != nil || r.Config != nil, flagBody) |
 		flag(r.Change != nil, flagChange) | flag(r.Refusal != nil, flagRefused))
 	appendString(b, r.Name)
-	b.AddUint64(r.Revision)
-	b.AddUint64(r.ContentRevision)
+	b.AddUint64(uint64(r.Revision))
+	b.AddUint64(uint64(r.ContentRevision))
 	if r.Refusal != nil {
 		appendString(b, string(r.Refusal.Reason))
 		appendString(b, r.Refusal.Detail)
@@ -114,7 +114,7 @@
 func readRecord(s *cryptobyte.String) (directory.Record, error) {
 	var r directory.Record
 	var kind, flags uint8
-	ok := s.ReadUint8(&kind) && s.ReadUint8(&flags) && readString(s, &r.Name) && s.ReadUint64(&r.Revision) && s.ReadUint64(&r.ContentRevision)
+	ok := s.ReadUint8(&kind) && s.ReadUint8(&flags) && readString(s, &r.Name) && readRevision(s, &r.Revision) && readRevision(s, &r.ContentRevision)
 	r.Kind, r.Removed, r.Expired = directory.Kind(kind), flags&flagRemoved != 0, flags&flagExpired != 0
 	if !ok {
 		return r, errInvalidRecord
@@ -182,6 +182,10 @@
 	return ok
 }
 
+func readRevision(s *cryptobyte.String, revision *directory.Revision) bool {
+	return s.ReadUint64((*uint64)(revision))
+}
+
 func readMillis(s *cryptobyte.String, d *time.Duration) bool {
 	var ms uint32
 	ok := s.ReadUint32(&ms)
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -69,6 +69,7 @@
 	graceUntil       time.Duration // end of the grace period after an outage of the store
 	isReader         bool
 	reader           netip.AddrPort // the current reader, if known
+	readerEra        uint16         // era of its last update
 	readerSeenAt     time.Duration  // when the last update of the reader arrived
 	confirmRequested bool           // a peer requested a confirmation from this process
 	resignedAt       time.Duration  // when this process last gave up the reader role in favor of a peer
@@ -77,13 +78,15 @@
 	members          *membership
 	sequence         uint32 // number of the last update that this process originated
 	parts            partTracker
+	publishedAt      time.Duration  // when the last view was published
+	eraPause         time.Duration  // since the store was restored, time that this process did not run
 	needSnapshot     bool           // the next fetch must request all records
 	recentRevisions  []revisionTime // oldest first
 }
 
 // revisionTime is the time at which the view reached a revision. It determines which changes updates repeat.
 type revisionTime struct {
-	revision uint64
+	revision directory.Revision
 	at       time.Duration
 }
 
@@ -150,7 +153,7 @@
 // mergeChanges applies all changes up to revision, logs their effect and publishes the view. It returns false
 // if a configuration change does not apply because its base configuration is missing; a snapshot must then be
 // fetched. The caller must hold s.mu.
-func (s *Syncer) mergeChanges(records []directory.Record, revision uint64, confirmedAt time.Duration) bool {
+func (s *Syncer) mergeChanges(records []directory.Record, revision directory.Revision, confirmedAt time.Duration) bool {
 	s.apply(records)
 	if s.directory.TakeBaseMismatch() {
 		s.config.Log.Warn("configuration_change_without_base", "revision", revision)
@@ -165,7 +168,8 @@
 // mergeSnapshot applies a snapshot of the store as of revision and publishes the view. Entries absent from
 // the snapshot are removed; after an outage of the store, absent targets count as expired. The caller must
 // hold s.mu.
-func (s *Syncer) mergeSnapshot(records []directory.Record, revision uint64, confirmedAt time.Duration) {
+func (s *Syncer) mergeSnapshot(records []directory.Record, revision directory.Revision, confirmedAt time.Duration) {
+	change, isNewEra := s.directory.BeginSnapshot(revision, s.config.Now())
 	removals := s.directory.SnapshotRemovals(records, revision)
 	if s.config.Now() < s.graceUntil {
 		markExpired(removals)
@@ -173,6 +177,9 @@
 	s.apply(records)
 	s.apply(removals)
 	s.directory.AdvanceSnapshot(revision)
+	if isNewEra {
+		s.onEraChange(change)
+	}
 	s.publish(revision, confirmedAt)
 }
 
@@ -187,11 +194,13 @@
 
 // publish removes expired targets whose grace period has ended and publishes the view, which the store
 // confirmed at the monotonic time confirmedAt. The caller must hold s.mu.
-func (s *Syncer) publish(revision uint64, confirmedAt time.Duration) {
+func (s *Syncer) publish(revision directory.Revision, confirmedAt time.Duration) {
 	now := s.config.Now()
-	for _, id := range s.directory.RemoveExpired(now) {
+	s.trackEraPause(now)
+	for _, id := range s.directory.RemoveExpired(now - s.eraPause) {
 		s.config.Log.Info("target_lapsed", "target", id)
 	}
+	s.endEraChange(now)
 	s.directory.PruneTombstones(maxTombstones)
 	s.confirmedAt = max(s.confirmedAt, confirmedAt)
 	s.trackRevision(revision, now)
@@ -200,7 +209,7 @@
 
 // trackRevision stores the time at which the view reached a revision, and drops revisions that updates no
 // longer repeat.
-func (s *Syncer) trackRevision(revision uint64, now time.Duration) {
+func (s *Syncer) trackRevision(revision directory.Revision, now time.Duration) {
 	if n := len(s.recentRevisions); n == 0 || s.recentRevisions[n-1].revision < revision {
 		s.recentRevisions = append(s.recentRevisions, revisionTime{revision: revision, at: now})
 	}
@@ -211,7 +220,7 @@
 
 // baseRevision returns the base of updates: they contain all changes after this revision. The caller must
 // hold s.mu.
-func (s *Syncer) baseRevision() uint64 {
+func (s *Syncer) baseRevision() directory.Revision {
 	if len(s.recentRevisions) == 0 {
 		return s.directory.CompactRevision()
 	}
