--- a/directory/era_config.go
+++ b/directory/era_config.go
@@ -16,7 +16,7 @@
 // that say something: the store has an older configuration, or has got the one in force back.
 func (d *Directory) noteStoreConfig(r *Record) {
 	version, ok := r.version()
-	if d.config == nil || !ok || version > d.config.Version || r.Revision <= d.configRevision {
+	if d.config == nil || !ok || version > d.config.Version {
 		return
 	}
 	isPeers := r.ContentRevision != 0
@@ -26,6 +26,7 @@
 			d.era.backup = Record{Kind: KindConfig, Revision: r.Revision, ContentRevision: r.Revision, Config: withSortedRoutes(r.Config)}
 			d.era.carried = &configTransition{baseRevision: r.Revision, base: d.era.backup.Config, next: d.config}
 		}
+	case r.Revision <= d.configRevision:
 	case isPeers:
 		d.configRevision, d.history, d.awaitsConfig = r.Revision, nil, true // so that later changes refer to the same base everywhere
 	case d.awaitsConfig:
--- a/viewsync/message_internal_test.go
+++ b/viewsync/message_internal_test.go
@@ -109,7 +109,9 @@
 func FuzzDecodeMessage(f *testing.F) {
 	hello := message{Kind: kindHello, Members: []member{{Address: netip.MustParseAddrPort("10.1.0.10:8166")}}}
 	update := message{Kind: kindUpdate, Reader: netip.MustParseAddrPort("10.1.0.10:8166"), Records: []directory.Record{{Kind: 1}}}
-	for _, m := range []message{hello, update} {
+	eraUpdate := update
+	eraUpdate.Base, eraUpdate.Revision = 3<<48|5, 3<<48|6
+	for _, m := range []message{hello, update, eraUpdate} {
 		datagram, err := m.encode()
 		require.NoError(f, err)
 		f.Add(datagram)
@@ -217,6 +219,9 @@
 	}}
 	encoded, _ := response.encode()
 	f.Add(encoded)
+	response.revision = 3<<48 | 7
+	encoded, _ = response.encode()
+	f.Add(encoded)
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		decoded, err := decodeFetchResponse(encoded)
 		if err != nil {
--- a/viewsync/read.go
+++ b/viewsync/read.go
@@ -107,9 +107,8 @@
 	err := s.watch(ctx, limit)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		s.config.Log.Warn("store_history_gone", "revision", s.revision())
-		return s.readSnapshot(ctx)
 	}
-	if errors.Is(err, platform.ErrEraChanged) {
+	if errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrEraChanged) {
 		return s.readSnapshot(ctx)
 	}
 	return err
@@ -205,21 +204,6 @@
 	s.storeReadAt = now
 }
 
-// startOutageGrace starts the grace period for removed targets if lastContact, the last time at which data
-// from the store arrived directly or through a peer, is more than minOutage ago. The caller must hold s.mu.
-func (s *Syncer) startOutageGrace(lastContact, now time.Duration) {
-	if now-lastContact > minOutage {
-		s.graceUntil = now + outageGrace
-	}
-}
-
-// markExpired marks removed targets as expired: after an outage of the store, their entries may be written again.
-func markExpired(records []directory.Record) {
-	for i := range records {
-		records[i].Expired = records[i].Removed && records[i].Kind == directory.KindTarget
-	}
-}
-
 // onStoreFailure handles a failed store request: it logs the first of a series and schedules the next request.
 func (s *Syncer) onStoreFailure(err error) {
 	s.mu.Lock()
