--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -58,6 +58,7 @@
 	{"give the shared route to another service and restart", true, (*faults).giveRouteAndRestart, "balancer"},
 	{"give the shared route to another service while its targets are full", true, (*faults).moveRouteFromFullTargets, ""},
 	{"write odd items to the store beside the target of", true, (*faults).writeOddItems, "agent"},
+	{"restore the store from a backup", false, (*faults).restoreStore, ""},
 }
 
 // run injects faults until the context ends, then waits until all are over.
