--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -201,5 +201,12 @@
 	restore(reader, 2*newEra|5, records[:2]...)
 	restore(d, reader.Revision(), reader.ChangesSince(0, restoredAt)...)
 	require.Equal(t, known, describe(d), "i-3 expired at the reader, but had left before")
+
+	reader, d = directory.New(), newKnowing()
+	restore(reader, newEra|5, backup()...)
+	restore(d, newEra|5, backup()...)
+	restore(reader, 2*newEra|5, draining(entry("i-3", 3, 2*newEra|3)))
+	restore(d, reader.Revision(), reader.ChangesSince(0, restoredAt)...)
+	require.NotContains(t, describe(d), "i-3", "the reader has it from the first backup")
 	require.False(t, func() bool { _, isNew := d.BeginSnapshot(newEra|99, restoredAt); return isNew }(), "an era that is over")
 }
