--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -98,6 +98,7 @@
 	require.Equal(t, known, describe(d))
 	restore(d, newEra|5, backup()...)
 	require.Len(t, d.HeldRecords(), 4)
+	restore(d, newEra|9, backup()...) // read once more, since the store has forgotten its history
 	for _, now := range []time.Duration{0, withinGrace} {
 		end(d, now)
 		require.Equal(t, known, describe(d))
@@ -210,3 +211,29 @@
 	require.NotContains(t, describe(d), "i-3", "the reader has it from the first backup")
 	require.False(t, func() bool { _, isNew := d.BeginSnapshot(newEra|99, restoredAt); return isNew }(), "an era that is over")
 }
+
+// Guards against an entry that peers hold back and later merge although it was written again as they knew it: for the
+// reader, which knew it so too, the content has not changed.
+func TestEntryWrittenAsKnownIsToldToPeers(t *testing.T) {
+	reader, peer := newKnowing(), newKnowing()
+	restore(reader, newEra|5, backup()...)
+	restore(peer, newEra|5, backup()...)
+	apply(reader, restoredAt, draining(entry("i-2", 2, newEra|6)), entry("i-4", 4, newEra|7), domainOut("a", newEra|8))
+	reader.Advance(newEra | 8)
+	apply(peer, restoredAt, reader.ChangesSince(newEra|5, restoredAt)...)
+	for _, d := range []*directory.Directory{reader, peer} {
+		end(d, afterHold)
+		require.Equal(t, "[i-1 ready i-2 draining i-3 ready i-4 ready] [a b] 2", describe(d))
+	}
+}
+
+// Guards against an entry that is held back and lost to an older record of a peer that is behind.
+func TestHeldBackEntryIsNotReplacedByAnOlderRecord(t *testing.T) {
+	d := newKnowing()
+	restore(d, newEra|9, entry("i-3", 3, newEra|7))
+	lapsed := entry("i-3", 3, newEra|6)
+	lapsed.Removed, lapsed.Expired = true, true
+	apply(d, restoredAt, lapsed)
+	end(d, afterHold)
+	require.Equal(t, "[i-3 ready] [] 2", describe(d))
+}
