--- a/directory/merge.go
+++ b/directory/merge.go
@@ -61,6 +61,9 @@
 // Revision returns the store revision up to which all changes have been merged.
 func (d *Directory) Revision() Revision { return d.revision }
 
+// HasTarget reports whether the directory holds a target, which includes those that have expired.
+func (d *Directory) HasTarget(id string) bool { return d.targets[id] != nil }
+
 // Config returns the configuration in force, or nil before the first one.
 func (d *Directory) Config() *Config { return d.config }
 
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -186,8 +186,9 @@
 func (s *Syncer) apply(records []directory.Record) {
 	now := s.config.Now()
 	for i := range records {
-		if s.directory.Apply(&records[i], now) {
-			logRecord(s.config.Log, &records[i], s.directory.Config())
+		if r := records[i]; s.directory.Apply(&r, now) {
+			r.Expired = r.Expired || (r.Removed && r.Kind == directory.KindTarget && s.directory.HasTarget(r.Name))
+			logRecord(s.config.Log, &r, s.directory.Config())
 		}
 	}
 }
