--- a/viewsync/read.go
+++ b/viewsync/read.go
@@ -34,6 +34,9 @@
 // Run keeps the view current until ctx is done.
 func (s *Syncer) Run(ctx context.Context) {
 	s.loadInitialView(ctx)
+	if s.revision().Era() > 0 {
+		go s.fetchAfterStart(ctx)
+	}
 	go s.runConfirmations(ctx)
 	for ctx.Err() == nil {
 		if pause := s.untilReaderTimeout(); pause > 0 {
@@ -104,6 +107,8 @@
 	err := s.watch(ctx, limit)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		s.config.Log.Warn("store_history_gone", "revision", s.revision())
+	}
+	if errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrEraChanged) {
 		return s.readSnapshot(ctx)
 	}
 	return err
@@ -133,7 +138,7 @@
 	}
 }
 
-func (s *Syncer) revision() uint64 {
+func (s *Syncer) revision() directory.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.directory.Revision()
@@ -150,6 +155,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if response.Revision.Era() < s.era() {
+		return refuseOlderEra()
+	}
 	s.onStoreSuccess(response.Revision)
 	s.mergeSnapshot(response.Records, response.Revision, requestedAt)
 	return nil
@@ -168,6 +176,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if response.Revision.Era() < s.era() {
+		return refuseOlderEra() // a peer has brought a newer one in the meantime
+	}
 	if elapsed := s.config.Now() - requestedAt; len(response.Records) == 0 && response.Ignored == 0 && elapsed >= limit {
 		requestedAt += limit
 	}
@@ -181,7 +192,7 @@
 
 // onStoreSuccess handles a successful store request: it ends the backoff and starts the grace period if the
 // request ended an outage. The caller must hold s.mu.
-func (s *Syncer) onStoreSuccess(revision uint64) {
+func (s *Syncer) onStoreSuccess(revision directory.Revision) {
 	now := s.config.Now()
 	if s.storeReadAt != 0 {
 		s.startOutageGrace(max(s.storeReadAt, s.confirmedAt), now)
@@ -193,21 +204,6 @@
 	s.storeReadAt = now
 }
 
-// startOutageGrace starts the grace period for removed targets if lastContact, the last time at which data
-// from the store arrived directly or through a peer, is more than minOutage ago. The caller must hold s.mu.
-func (s *Syncer) startOutageGrace(lastContact, now time.Duration) {
-	if now-lastContact > minOutage {
-		s.graceUntil = now + outageGrace
-	}
-}
-
-// markExpired marks removed targets as expired: after an outage of the store, their entries may be written again.
-func markExpired(records []directory.Record) {
-	for i := range records {
-		records[i].Expired = records[i].Removed && records[i].Kind == directory.KindTarget
-	}
-}
-
 // onStoreFailure handles a failed store request: it logs the first of a series and schedules the next request.
 func (s *Syncer) onStoreFailure(err error) {
 	s.mu.Lock()
