Load control, ended flows, store eras: faults that the reviews found

Reviewers who had not written the parts found sequences of events, most of them shown with small tests: - A gate took chance pauses between offers for an outage and stopped shedding; its reports then attracted all flows. An outage now needs a pause of all packets, frequent offers before and an empty queue; waits are reported in a recovery too. - A target refused the repeated SYN of a flow that it had accepted, and the balancer reset it. - A lasting shortage was declared although nearly all flows found room, and for refusals of cold or silent targets. - All flows that waited for a cold rate were released at once; a waiting SYN was counted against itself. - Deferred requests of a low priority got every second start; one long answer distorted the mean service time. - The silence of a target in a pause of its agent counted as proof that it had lost its flows; so did ten times the mean service time, cut to 500 ms; a first refusal marked targets as down earlier than without the setting. - Gaps between views while the store is away prolonged the hold after a restoration without end; an update of an older era cancelled the back-off; answers without a view could carry an era to processes of earlier versions. Each mend is in the part's own file; tests for those of admission and placement are added. TestAgentShedsOverload begins with one caller, since an agent that has just started does not shed.

--- a/directory/config_change.go
+++ b/directory/config_change.go
@@ -25,7 +25,10 @@
 // change is not smaller than the full configuration, or if applying it would not reproduce next: route names are not
 // unique, or the order of routes that share an address has changed.
 func diffConfigs(old *Config, base Revision, next *Config) (*ConfigChange, bool) {
-	c := &ConfigChange{Base: base, BaseVersion: old.Version, Next: *next}
+	c := &ConfigChange{Base: base, Next: *next}
+	if base.Era() > 0 {
+		c.BaseVersion = old.Version
+	}
 	c.Next.Routes = nil
 	oldRoutes := make(map[string]*Route, len(old.Routes))
 	for i := range old.Routes {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -40,6 +40,9 @@
 	direct         directOffers
 	retransmission int      // highest retransmission number of the SYN so far
 	waiting        bool     // the SYN is queued at the target
+	unanswered     bool     // an earlier SYN may have reached a target that did not return it
+	refusedOther   bool     // a target refused this SYN for another reason than a lack of slots
+	saidOverloaded bool     // a target refused this SYN because of overload
 	tried          []uint64 // keys of the targets that refused the SYN or did not answer it
 	search         search
 	firstMissAt    time.Duration // when a completed search first found no target; 0: none did
@@ -60,7 +63,7 @@
 	viewComparison viewComparison
 	domainOutGrace time.Duration // how long open flows are kept in a failure domain that is out
 	loadControl    loadcontrol.Settings
-	shortages      map[placement.Class]shortage
+	shortages      map[placement.Class]*shortage
 	speeds         *capacity.Speeds // nil: off
 	changes        capacityChanges
 }
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -102,7 +102,7 @@
 		e.direct = directOffers{}
 		return d.offerNext(key, e, CauseNextTarget, p, route, now)
 	}
-	if !known.Overloaded || e.direct.overloaded < e.direct.made {
+	if !known.Overloaded || e.direct.overloaded < e.direct.made || e.unanswered {
 		return d.handleNoRoom(key, e, p, route, now) // there may be room when the next SYN arrives
 	}
 	refused := d.refuse(key, e, CauseOverload, p, now)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -19,7 +19,9 @@
 	}
 	d.updatePlacement(key, e, route)
 	cause := CausePlaced
+	e.refusedOther, e.saidOverloaded = false, false
 	if p.Retransmission > e.retransmission {
+		e.unanswered = e.unanswered || e.target != nil
 		e.retransmission = p.Retransmission
 		cause = CauseRepeated
 	}
@@ -27,6 +29,7 @@
 		d.table.Delete(key)
 		return Decision{Outcome: OutcomeReset, Cause: CauseIsolated, Service: e.service, Seq: p.Ack}
 	}
+	d.countSyn(e, p, route)
 	if e.waiting && !d.isDirectTargetLost(e, now) {
 		return d.offer(e, true, cause, p, now)
 	}
@@ -124,6 +127,7 @@
 		return Decision{Cause: CauseStaleReturn}
 	}
 	d.updatePlacement(key, e, route)
+	e.recordReason(h.Reason)
 	if h.Reason == encap.ReasonOverloaded {
 		d.recordOverload(ip, e, p, route, now)
 	}
@@ -138,6 +142,17 @@
 	return d.offerNext(key, e, CauseNextTarget, p, route, now)
 }
 
+// recordReason records why a target refused the present SYN.
+func (e *entry) recordReason(reason encap.Reason) {
+	switch reason {
+	case encap.ReasonOverloaded:
+		e.saidOverloaded = true
+	case encap.ReasonBusy:
+	default:
+		e.refusedOther = true
+	}
+}
+
 // recordRefusal records why a target refused a new flow.
 func (d *Dispatcher) recordRefusal(ip [4]byte, reason encap.Reason, now time.Duration) {
 	switch reason {
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -19,50 +19,71 @@
 // only delays resets.
 const maxShortages = 256
 
-// shortage is a time in which new flows of a class find no room: all targets that they were offered to refused them,
-// also the one that might have queued them.
+// minShortageShare is the share of the first SYNs of a class, as one in so many, that find no room in a shortage. If
+// fewer do, their callers find room with the next SYN.
+const minShortageShare = 8
+
+// shortage is a time in which new flows of a class find no room: all targets that they were offered to refused them for
+// lack of slots, also the one that might have queued them.
 type shortage struct {
-	since time.Duration // when the first of these flows found no room
-	last  time.Duration // when the latest did
+	since  time.Duration // when the first of these flows found no room
+	last   time.Duration // when the latest did
+	noRoom int           // first SYNs since then that found no room
+	all    int           // all first SYNs since then
+}
+
+// isLasting reports whether the shortage has lasted for twice the objective and goes on.
+func (s *shortage) isLasting(objective, now time.Duration) bool {
+	return now-s.last <= shortagePause && now-s.since > lastingObjectives*objective && s.noRoom*minShortageShare >= s.all
+}
+
+// countSyn counts a SYN that is placed, for the share of those that find no room.
+func (d *Dispatcher) countSyn(e *entry, p *flow.Packet, route *directory.Route) {
+	if p.Retransmission > 0 || len(d.shortages) == 0 {
+		return
+	}
+	if s := d.shortages[classOf(e, route)]; s != nil {
+		s.all++
+	}
 }
 
 // isLastingShortage records that a new flow found no room, and reports whether such flows have existed for longer than
-// twice their latency objective. Then a reset is better for the caller than to wait for its next SYN: it tries again at once, by
-// another balancer, while its request can still be answered in time. In a shorter peak, callers would spend their retries
-// within milliseconds.
+// twice their latency objective. Then a reset is better for the caller than to wait for its next SYN: it tries again at
+// once, by another balancer, while its request can still be answered in time. In a shorter peak, callers would spend
+// their retries within milliseconds.
 //
-// A process with an old view, or one that reaches no agent, does not know whether there is room. Agents of versions that
-// never say that they are overloaded refuse for other reasons too.
+// Only refusals for lack of slots count, of which one at least says that its target is overloaded: agents of versions that
+// never say so, and targets that are cold, silent or starting, refuse for reasons that may end before the next SYN. A
+// process with an old view, or one that reaches no agent, does not know whether there is room. A flow is not reset if a
+// target may have accepted an earlier SYN.
 func (d *Dispatcher) isLastingShortage(e *entry, p *flow.Packet, route *directory.Route, now time.Duration) bool {
 	if !d.sheds(e.service) || route.Objective <= 0 || now-d.confirmedAt > maxRefusalViewAge || d.loads.Isolated(now) {
 		return false
 	}
-	if !d.overload.HeardRecently(now) {
+	if e.refusedOther || !e.saidOverloaded {
 		return false
 	}
 	class := classOf(e, route)
 	s := d.shortages[class]
 	if p.Retransmission == 0 { // a retransmission may be too old to be answered in time by any target
-		s.record(now)
-		d.storeShortage(class, s)
+		s = d.recordShortage(class, s, now)
 	}
-	return s.last != 0 && now-s.last <= shortagePause && now-s.since > lastingObjectives*route.Objective
+	return s != nil && !e.unanswered && s.isLasting(route.Objective, now)
 }
 
-// record records that a flow found no room.
-func (s *shortage) record(now time.Duration) {
-	if s.last == 0 || now-s.last > shortagePause {
-		s.since = now
+// recordShortage records that a flow of the class found no room. s is the present shortage, or nil.
+func (d *Dispatcher) recordShortage(class placement.Class, s *shortage, now time.Duration) *shortage {
+	if s == nil || now-s.last > shortagePause {
+		if len(d.shortages) >= maxShortages {
+			clear(d.shortages)
+		}
+		s = &shortage{since: now, all: 1}
+		d.shortages[class] = s
 	}
 	s.last = now
-}
-
-func (d *Dispatcher) storeShortage(class placement.Class, s shortage) {
-	if len(d.shortages) >= maxShortages {
-		clear(d.shortages)
-	}
-	d.shortages[class] = s
+	s.noRoom++
+	return s
 }
 
 // newShortages returns an empty table of shortages.
-func newShortages() map[placement.Class]shortage { return make(map[placement.Class]shortage) }
+func newShortages() map[placement.Class]*shortage { return make(map[placement.Class]*shortage) }
--- a/dispatch/shortage_test.go
+++ b/dispatch/shortage_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipward/cowslipward/dispatch"
+	"github.com/cowslipward/cowslipward/encap"
 )
 
 // Load: 1.2 times the capacity of 51 targets for 4 s, so that at any time some targets have room and less than three
@@ -67,3 +70,32 @@
 	require.Zero(t, s.shortages)
 	require.Zero(t, s.shed)
 }
+
+// Load: all targets are overloaded, and one has taken the first SYN of a flow without an answer so far. Guards against a
+// reset of a flow that this target may have accepted.
+func TestFlowWithUnansweredSynIsNotResetEarly(t *testing.T) {
+	d := balancerAfterRefusals(8, serviceAddress, true)
+	taken := d.HandleCallerPacket(syn(1, 0), seconds(2.05))
+	require.Equal(t, dispatch.OutcomeForward, taken.Outcome)
+	last, _ := refuseAll(d, syn(1, 1), encap.ReasonOverloaded, seconds(2.25))
+	require.NotEqual(t, dispatch.OutcomeReset, last.Outcome)
+	last, _ = refuseAll(d, syn(2, 0), encap.ReasonOverloaded, seconds(2.26))
+	require.Equal(t, dispatch.OutcomeReset, last.Outcome, "other flows are refused")
+}
+
+// Load: one in 50 flows finds no room, for seconds. Guards against resets while nearly all flows find room.
+func TestRareFlowsWithoutRoomAreNoShortage(t *testing.T) {
+	d := balancerAfterRefusals(2, serviceAddress, true)
+	port := uint16(0)
+	for now := 2.0; now < 5; now += 0.2 {
+		d.SetView(d.View(), seconds(now), seconds(now))
+		for range 50 {
+			port++
+			d.HandleCallerPacket(syn(port, 0), seconds(now))
+		}
+		port++
+		last, _ := refuseAll(d, syn(port, 0), encap.ReasonOverloaded, seconds(now))
+		require.NotEqual(t, dispatch.CauseShortage, last.Cause)
+		d.HandleReport(ip(0), &encap.Header{Kind: encap.KindReport}, seconds(now))
+	}
+}
--- a/forward/agent.go
+++ b/forward/agent.go
@@ -198,15 +198,22 @@
 		FailedPercent: encap.Percent(a.gate.FailureRatio(now)),
 		Silent:        a.gate.Silent(now),
 	}
-	if kind == encap.KindReport {
-		h.Capacity = a.nextCapacity(now)
-		if a.gate.Sheds() {
-			h.Capacity.WaitCode = encap.WaitCode(a.gate.ReportedWait(now))
-		}
+	if kind == encap.KindReport && a.gate.ReportsWait() {
+		h.Capacity.WaitCode = encap.WaitCode(a.gate.ReportedWait(now))
 	}
 	return h
 }
 
+// reportHeader returns the header of the next periodic report. It has the learned capacity if it is due, which answers to
+// single balancers do not: the others would miss it.
+func (a *Agent) reportHeader(now time.Duration) encap.Header {
+	h := a.statusHeader(encap.KindReport, now)
+	wait := h.Capacity.WaitCode
+	h.Capacity = a.nextCapacity(now)
+	h.Capacity.WaitCode = wait
+	return h
+}
+
 // returnPacket returns a packet to its balancer with the reason why the target does not take it.
 func (a *Agent) returnPacket(out *agentOutboxes, to flow.Endpoint, attempt uint8, reason encap.Reason, packet []byte, now time.Duration) {
 	h := a.statusHeader(encap.KindReturn, now)
--- a/forward/agent_balancers.go
+++ b/forward/agent_balancers.go
@@ -75,7 +75,7 @@
 		a.updateTargetFailing(now)
 		a.updateOverload(now)
 		a.logLimit(now)
-		h := a.statusHeader(encap.KindReport, now)
+		h := a.reportHeader(now)
 		for _, address := range reportRecipients(a.balancers, round, now) {
 			out.balancers.sendEncapsulated(address, &h, nil)
 		}
--- a/forward/agent_limit_internal_test.go
+++ b/forward/agent_limit_internal_test.go
@@ -21,7 +21,7 @@
 		a.gate.Offer(&targetgate.Offer{Slots: 2}, time.Second)
 		require.Zero(t, a.statusHeader(encap.KindReturn, time.Second).Capacity)
 		for n := range 4 {
-			reports = append(reports, a.statusHeader(encap.KindReport, time.Second+time.Duration(n)*reportInterval).Capacity)
+			reports = append(reports, a.reportHeader(time.Second+time.Duration(n)*reportInterval).Capacity)
 		}
 		return reports
 	}
--- a/forward/agent_probe.go
+++ b/forward/agent_probe.go
@@ -61,8 +61,8 @@
 	now := a.clock.now()
 	wasDown := a.gate.Down()
 	a.recordRefusal(err, startedAt, now)
-	if crashOnly && !errors.Is(err, syscall.ECONNREFUSED) {
-		return
+	if crashOnly && (!errors.Is(err, syscall.ECONNREFUSED) || !a.gate.Suspect(now)) {
+		return // a first refusal marks the target as down no earlier than without these probes
 	}
 	if err == nil || refused {
 		a.gate.RecordProbe(!refused, now)
--- a/forward/agent_resets.go
+++ b/forward/agent_resets.go
@@ -66,7 +66,7 @@
 // of the target that contradict the first, and these may not have been read yet. a.mu must be held.
 func (a *Agent) voidProofsAfterPause(now time.Duration) {
 	if now-a.ended.lastWatch > maxWatchGap {
-		a.gate.VoidProofs()
+		a.gate.VoidProofs(now)
 	}
 }
 
--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -13,7 +13,7 @@
 	"github.com/cowslipward/cowslipward/loadcontrol"
 )
 
-// Load: for a second, 400 callers that each open a flow and send a request as soon as the previous one ends, at a target
+// Load: one caller for 1.6 s, since an agent that has just started does not shed, and for a second 400 callers that each open a flow and send a request as soon as the previous one ends, at a target
 // with 4 slots and 5 ms of work. Guards against an agent that sheds nothing although its settings say so, and against
 // accepted requests that get no answer.
 func TestAgentShedsOverload(t *testing.T) {
@@ -25,6 +25,12 @@
 	refused := metrics.GetOrCreateCounter(`cowslip_refused_flows_total{reason="overloaded"}`)
 	shed := metrics.GetOrCreateCounter(`cowslip_target_shed_flows_total{priority="0"}`)
 	refusedBefore, shedBefore := refused.Get(), shed.Get()
+	for start := time.Now(); time.Since(start) < 1600*time.Millisecond; {
+		f, err := b.caller.Open(context.Background(), serviceAddress)
+		require.NoError(t, err)
+		require.NoError(t, b.request(f, "before"))
+		f.Close()
+	}
 	end := time.Now().Add(time.Second)
 	var group sync.WaitGroup
 	errs := make([]error, 400)
--- a/targetgate/admission.go
+++ b/targetgate/admission.go
@@ -108,6 +108,9 @@
 	case encap.ReasonSilent, encap.ReasonRefused:
 		return Refuse, reason
 	}
+	if g.flowQueue.has(o.Key) {
+		return Wait, reason // it gets its turn, as was estimated for an earlier SYN
+	}
 	estimate := g.estimateWait(o.Priority, o.objectiveEnd(now), now)
 	cold := reason == encap.ReasonCold || !g.belowColdRate(o.ColdRate)
 	if cold {
@@ -131,6 +134,13 @@
 	}
 }
 
+// isRepeatedOffer reports whether the SYN repeats one that the target got and that opened no flow yet: its SYN+ACK may
+// have been lost or be on its way.
+func (g *Gate) isRepeatedOffer(o *Offer, now time.Duration) bool {
+	s, found := g.flows.Get(o.Key, now)
+	return found && o.Retransmission > 0 && s.synSentAt != 0
+}
+
 // objective returns the time within which the flow's request has to be answered. Without an objective, that is the
 // time for which callers wait for a connection.
 func (o *Offer) objective() time.Duration { return cmp.Or(o.LatencyObjective, connectTimeout) }
--- a/targetgate/ended.go
+++ b/targetgate/ended.go
@@ -80,15 +80,16 @@
 	switch {
 	case l.firstAt == 0 || s.lastPacket >= l.firstAt:
 	case s.lastPacket <= l.ownedUntil:
-		g.VoidProofs()
+		g.loss.firstAt, g.loss.refusedAt = 0, 0
 	case l.aliveSince == 0 || s.lastPacket < l.aliveSince:
 		l.aliveSince = s.lastPacket
 	}
 }
 
-// recordCallerPacket records what a caller's packet shows about its flow.
-func (s *flowState) recordCallerPacket(p *flow.Packet) {
-	if p.AckFlag && (s.endFlags&flagCallerAcked == 0 || int32(p.Ack-s.callerAck) > 0) {
+// recordCallerPacket records what a caller's packet shows about its flow. A packet of a search may belong to a flow at
+// another target that has the same endpoints.
+func (s *flowState) recordCallerPacket(p *flow.Packet, searched bool) {
+	if p.AckFlag && (!searched || s.acksSYN(p)) && (s.endFlags&flagCallerAcked == 0 || int32(p.Ack-s.callerAck) > 0) {
 		s.callerAck = p.Ack
 		s.endFlags |= flagCallerAcked
 	}
--- a/targetgate/gate.go
+++ b/targetgate/gate.go
@@ -255,7 +255,8 @@
 		return 0, false
 	case g.admission.enabled:
 		// Flows wait only for the cold rate. Requests that wait do not delay them.
-		return g.admission.first(g.flowQueue.items), g.belowColdRate(g.admission.coldRate)
+		first := g.admission.first(g.flowQueue.items)
+		return first, g.Load() < g.maxLoad() && g.belowColdRate(g.flowQueue.items[first].coldRate)
 	case g.Load() >= g.maxLoad() || len(g.requestQueue.items) > 0:
 		return 0, false
 	}
--- a/targetgate/lossproofs.go
+++ b/targetgate/lossproofs.go
@@ -25,6 +25,9 @@
 	// requestSince is when the oldest request began that was in progress at the first refusal; 0: there was none.
 	requestSince time.Duration
 
+	// notBefore is when this process resumed after a pause. What the target did before does not count as a proof.
+	notBefore time.Duration
+
 	firstAt time.Duration // when the first proof was found; 0: none
 	refused bool          // the first proof was a refused probe
 	// ownedUntil is the latest time at which the target had a flow that it has lost since. Flows without a packet
@@ -48,7 +51,7 @@
 	switch {
 	case !l.enabled:
 		return 0
-	case g.lastPacket >= startedAt:
+	case g.lastPacket >= startedAt, startedAt < l.notBefore:
 		l.refusedAt = 0 // the target may have stopped after this probe began; the next one is the first proof
 		return confirmAfter
 	case l.refusedAt == 0 || g.lastPacket >= l.refusedAt:
@@ -74,10 +77,10 @@
 // a probe: nobody waits then.
 func (g *Gate) unresponsiveSince() (since time.Duration, owesAnswer bool) {
 	if g.lastAccept > g.lastPacket {
-		return g.lastAccept, true // at least confirmAfter ago: a target that refuses probes gets no new flows
+		return max(g.lastAccept, g.loss.notBefore) + confirmAfter, true
 	}
 	longRequest := min(max(minLongRequest, longRequestFactor*g.serviceTime), maxLongRequest)
-	return max(g.loss.requestSince, g.lastPacket) + longRequest, g.loss.requestSince != 0
+	return max(g.loss.requestSince, g.lastPacket, g.loss.notBefore) + longRequest, g.loss.requestSince != 0
 }
 
 // oldestRequest returns when the oldest request in progress began, or 0 if there is none.
@@ -112,7 +115,10 @@
 func (g *Gate) RecordNoRefusal() { g.loss.refusedAt = 0 }
 
 // VoidProofs discards the first proofs, because packets of the target that contradict them may not have been read.
-func (g *Gate) VoidProofs() { g.loss.firstAt, g.loss.refusedAt = 0, 0 }
+// Nothing that the target left unanswered before now counts: it may have been paused as well.
+func (g *Gate) VoidProofs(now time.Duration) {
+	g.loss.firstAt, g.loss.refusedAt, g.loss.notBefore = 0, 0, now
+}
 
 // recordDisowned considers whether a packet that the target returned proves that the target has restarted.
 func (g *Gate) recordDisowned(s *flowState, now time.Duration) {
@@ -127,10 +133,10 @@
 	isFirst := l.firstAt == 0 || s.lastPacket >= l.firstAt || (l.aliveSince != 0 && s.lastPacket >= l.aliveSince)
 	owed := s.owesResponse()
 	switch {
-	case isFirst && owed:
+	case isFirst && s.endFlags&flagHeldAtProof != 0:
 		g.suspectLoss(now, s.lastPacket, false)
 	case isFirst || (!owed && !l.refused):
-		// A target may close a flow that it has answered by rules of its own.
+		// A target may close a flow without a request by rules of its own.
 	default:
 		l.ownedUntil = max(l.ownedUntil, s.lastPacket)
 		if now-l.firstAt >= confirmAfter {
--- a/targetgate/offer.go
+++ b/targetgate/offer.go
@@ -18,6 +18,9 @@
 	if s, found := g.flows.Get(o.Key, now); found && s.phase != requestNone {
 		return Accept, encap.ReasonNone // a retransmission of a SYN that the target already has
 	}
+	if g.admission.enabled && g.isRepeatedOffer(o, now) {
+		return Accept, encap.ReasonNone
+	}
 	reason := g.refusalReason(o, now)
 	if g.admission.enabled {
 		return g.decide(o, reason, now)
--- a/targetgate/overload.go
+++ b/targetgate/overload.go
@@ -51,10 +51,20 @@
 	return longest
 }
 
+// ReportsWait reports whether reports contain the wait: also in a recovery, when nothing is shed yet.
+func (g *Gate) ReportsWait() bool { return g.loadControl.Sheds(g.service, g.slots) }
+
+// maxRecoveryWaitShare bounds the wait that is reported in a recovery, as a share of the shortest objective: balancers
+// then offer fewer flows, but do not refuse any.
+const maxRecoveryWaitShare = 0.5
+
 // ReportedWait returns the time that a new request of the lowest priority would wait for a slot, for reports to
 // balancers. While the target is overloaded, it is longer than the objective: the flow would be refused, although the
 // requests that have been accepted wait for less.
 func (g *Gate) ReportedWait(now time.Duration) time.Duration {
+	if g.recovery.active {
+		return min(g.ExpectedWait(now), time.Duration(maxRecoveryWaitShare*float64(g.shortestObjective())))
+	}
 	if objective := g.overloadedObjective(now); objective > 0 {
 		return max(g.ExpectedWait(now), objective+reportedWaitExcess)
 	}
@@ -64,3 +74,14 @@
 // reportedWaitExcess is the difference by which a reported wait exceeds the objective. It is above the resolution of
 // reports.
 const reportedWaitExcess = 8 * time.Millisecond
+
+// shortestObjective returns the shortest latency objective of the routes, or 0 if none has one.
+func (g *Gate) shortestObjective() time.Duration {
+	shortest := time.Duration(0)
+	for _, r := range g.routes {
+		if o := r.class.objective; o > 0 && (shortest == 0 || o < shortest) {
+			shortest = o
+		}
+	}
+	return shortest
+}
--- a/targetgate/recovery_internal_test.go
+++ b/targetgate/recovery_internal_test.go
@@ -49,15 +49,22 @@
 	require.Less(t, countAccepted(started, 200, time.Second), 200, "as without shedding, the queue is bounded")
 }
 
-// Load: offers that stop for 600 ms, while no balancer reaches the agent, and then 40 at once. Guards against the same
+// Load: 50 offers a second that stop for 600 ms, while no balancer reaches the agent, and then 40 at once. Guards against the same
 // refusals by an agent that was running all the time.
 func TestBacklogOfOutageIsAcceptedAfterPauseOfOffers(t *testing.T) {
 	g := newSheddingGate()
-	for now := time.Second; now < 2*time.Second; now += 100 * time.Millisecond {
+	for now := time.Second; now < 2*time.Second; now += 20 * time.Millisecond {
 		offerAt(g, int(now/time.Millisecond), now)
+		g.recordTargetPacket(now) // the target answers
 	}
-	g.recordTargetPacket(2 * time.Second) // the target answers
-	require.Equal(t, 40, countAccepted(g, 40, 2500*time.Millisecond))
+	require.Equal(t, 40, countAccepted(g, 40, 2600*time.Millisecond))
+
+	rare := newSheddingGate()
+	for now := time.Second; now < 4*time.Second; now += 300 * time.Millisecond {
+		offerAt(rare, int(now/time.Millisecond), now)
+		rare.recordTargetPacket(now)
+	}
+	require.Less(t, countAccepted(rare, 40, 4600*time.Millisecond), 10, "a target with few offers sees pauses by chance")
 }
 
 // Load: more flows than the target serves, from its agent's start on. Guards against a recovery that never ends.
@@ -82,3 +89,20 @@
 	}
 	require.True(t, busy.Sheds())
 }
+
+// Load: an overloaded target whose answer to a first SYN was lost, so that the caller sends its SYN again. Guards against
+// the refusal of a flow that the target has accepted.
+func TestRepeatedSynOfAcceptedFlowIsAccepted(t *testing.T) {
+	g := newSheddingGate()
+	verdict, _ := offerAt(g, 1, time.Second)
+	require.Equal(t, Accept, verdict)
+	countAccepted(g, 40, 1190*time.Millisecond)
+	repeated := flow.Key{
+		Caller:  flow.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: 1024},
+		Service: flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443},
+	}
+	verdict, _ = g.Offer(&Offer{
+		Key: repeated, Retransmission: 1, Last: true, Slots: 2, Priority: 1, LatencyObjective: 300 * time.Millisecond,
+	}, 1200*time.Millisecond)
+	require.Equal(t, Accept, verdict)
+}
--- a/targetgate/requests.go
+++ b/targetgate/requests.go
@@ -24,12 +24,13 @@
 func (g *Gate) FromCaller(
 	key flow.Key, p *flow.Packet, searcher flow.Endpoint, now time.Duration,
 ) (confirmed bool, action Action) {
+	g.recovery.lastPacketAt = now
 	s, found := g.flows.Get(key, now)
 	if !found {
 		s = &flowState{opensElsewhere: g.flowQueue.removeFlow(key)}
 		g.flows.Put(key, s, now)
 	}
-	s.recordCallerPacket(p)
+	s.recordCallerPacket(p, searcher.IsValid())
 	confirmed = s.isConfirmed(p)
 	if searcher.IsValid() && !confirmed {
 		s.searcher = searcher
--- a/targetgate/responses.go
+++ b/targetgate/responses.go
@@ -79,7 +79,7 @@
 func (g *Gate) recordResponse(key flow.Key, s *flowState, p *flow.Packet, now time.Duration) (duration time.Duration) {
 	if s.phase == requestInProgress {
 		s.response.duration = now - s.since
-		g.serviceTime += time.Duration(serviceTimeWeight * float64(s.response.duration-g.serviceTime))
+		g.recordServiceTime(s.response.duration)
 	}
 	if s.phase != requestQueued { // else the data repeats the end of the previous response
 		g.endRequest(key, s)
@@ -93,6 +93,18 @@
 	return duration
 }
 
+// maxServiceTimeRatio limits a sample of the service time to a multiple of the mean while overload is shed. After a target
+// stood still for seconds, one answer would otherwise make every wait look longer than the objectives.
+const maxServiceTimeRatio = 8
+
+// recordServiceTime adds a sample to the mean service time.
+func (g *Gate) recordServiceTime(sample time.Duration) {
+	if g.admission.enabled {
+		sample = min(sample, maxServiceTimeRatio*g.serviceTime)
+	}
+	g.serviceTime += time.Duration(serviceTimeWeight * float64(sample-g.serviceTime))
+}
+
 // endUnanswered ends the request of a flow that gets no response. It counts a request in progress as lost.
 func (g *Gate) endUnanswered(key flow.Key, s *flowState) {
 	if s.phase == requestInProgress {
--- a/targetgate/serviceorder.go
+++ b/targetgate/serviceorder.go
@@ -1,6 +1,9 @@
 package targetgate
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // deferredShare is the share of the starts that goes to deferred requests while others wait that can be answered in
 // time. Most of the capacity has to answer the latter, and the former must not wait until their deadline.
@@ -64,7 +67,7 @@
 		return c.deferred
 	}
 	share, best := a.policy.deferredShare, c.deferred
-	if c.isUrgent(items, slots, serviceTime, now) {
+	if items[c.mostUrgent].class.priority <= items[c.first].class.priority && c.isUrgent(items, slots, serviceTime, now) {
 		share, best = a.policy.urgentShare, c.mostUrgent
 	}
 	a.deferredCredit += share
@@ -80,7 +83,9 @@
 	for i := range items {
 		switch w := &items[i]; {
 		case w.deadline-now < serviceTime:
-			c.hopeless = i
+			if c.hopeless < 0 || a.firstBefore(w, &items[c.hopeless]) {
+				c.hopeless = i
+			}
 		case a.policy.isDeferred(w, now, serviceTime):
 			c.addDeferred(items, i, serviceTime, now)
 		case c.first < 0 || a.firstBefore(w, &items[c.first]):
@@ -114,14 +119,17 @@
 	if c.deferred < 0 || deferredBefore(w, &items[c.deferred], now, serviceTime) {
 		c.deferred = i
 	}
-	if c.mostUrgent < 0 || w.deadline < items[c.mostUrgent].deadline {
+	if c.mostUrgent < 0 || cmp.Or(cmp.Compare(w.class.priority, items[c.mostUrgent].class.priority), cmp.Compare(w.deadline, items[c.mostUrgent].deadline)) < 0 {
 		c.mostUrgent = i
 	}
 }
 
-// deferredBefore is the order of deferred requests: retries that can be in time, then by the time at which the caller
-// gives up.
+// deferredBefore is the order of deferred requests: by priority, retries that can be in time first, then by the time at
+// which the caller gives up.
 func deferredBefore(w, other *waiter, now, serviceTime time.Duration) bool {
+	if w.class.priority != other.class.priority {
+		return w.class.priority < other.class.priority
+	}
 	late, otherLate := w.isLate(now, serviceTime), other.isLate(now, serviceTime)
 	if late != otherLate {
 		return otherLate
--- a/targetgate/waitqueue.go
+++ b/targetgate/waitqueue.go
@@ -48,6 +48,11 @@
 	q.items = append(q.items, *next)
 }
 
+// has reports whether there is an entry of the flow.
+func (q *waitQueue) has(key flow.Key) bool {
+	return slices.ContainsFunc(q.items, func(w waiter) bool { return w.key == key })
+}
+
 // expire removes the entries whose callers have given up, and returns their flows.
 func (q *waitQueue) expire(now time.Duration) []flow.Key {
 	var expired []flow.Key
--- a/viewsync/era.go
+++ b/viewsync/era.go
@@ -56,7 +56,7 @@
 // caller must hold s.mu.
 func (s *Syncer) onEraChange(change directory.EraChange) {
 	eraChanges.Inc()
-	s.publishedAt, s.eraPause = s.config.Now(), 0
+	s.publishedAt, s.eraPause, s.eraPauses = s.config.Now(), 0, 0
 	s.config.Store.ObserveEra(change.To.Era())
 	if s.readerEra < change.To.Era() {
 		s.reader = netip.AddrPort{}
@@ -76,10 +76,15 @@
 // written again in the meantime.
 const maxPublishGap = time.Second
 
+// maxEraPauses bounds the gaps that do not count. They also occur while a process runs and the store does not answer, and
+// must not prolong the periods without end.
+const maxEraPauses = 2
+
 // trackEraPause adds the time since the last view to the time that does not count. The caller must hold s.mu.
 func (s *Syncer) trackEraPause(now time.Duration) {
-	if gap := now - s.publishedAt; gap > maxPublishGap && s.directory.IsChangingEra() {
+	if gap := now - s.publishedAt; gap > maxPublishGap && s.eraPauses < maxEraPauses && s.directory.IsChangingEra() {
 		s.eraPause += gap
+		s.eraPauses++
 	}
 	s.publishedAt = now
 }
@@ -91,7 +96,7 @@
 		logRecord(s.config.Log, &records[i], s.directory.Config())
 	}
 	if !s.directory.IsChangingEra() {
-		s.eraPause = 0
+		s.eraPause, s.eraPauses = 0, 0
 	}
 }
 
--- a/viewsync/fetch.go
+++ b/viewsync/fetch.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -44,7 +45,7 @@
 // encode returns the response without the records that cannot be encoded, and the errors of those.
 func (r *fetchResponse) encode() (encoded []byte, failed []error) {
 	out := cryptobyte.NewBuilder(nil)
-	if r.revision.Era() > 0 {
+	if r.hasEra() {
 		out.AddUint8(fetchResponseEraVersion)
 	} else {
 		out.AddUint8(fetchResponseVersion)
@@ -56,6 +57,13 @@
 	return out.BytesOrPanic(), failed // no field of a fixed size can fail
 }
 
+// hasEra reports whether any revision of the response contains an era. A process that has no view yet may hold records of
+// one.
+func (r *fetchResponse) hasEra() bool {
+	isOfEra := func(record directory.Record) bool { return record.Revision.Era() > 0 }
+	return r.revision.Era() > 0 || slices.ContainsFunc(r.records, isOfEra)
+}
+
 func decodeFetchResponse(encoded []byte) (*fetchResponse, error) {
 	r := &fetchResponse{}
 	s := cryptobyte.String(encoded)
--- a/viewsync/peers.go
+++ b/viewsync/peers.go
@@ -226,7 +226,9 @@
 	if era := m.Revision.Era(); era < s.era() {
 		s.mu.Unlock()
 		olderEraUpdates.Inc()
-		s.finishUpdate(m, now) // processes of versions without eras use it
+		if m.Forward {
+			s.forwardUpdate(m, now) // processes of versions without eras use it
+		}
 		return
 	}
 	s.updateReader(m.Reader, m.Revision.Era(), now)
--- a/viewsync/viewsync.go
+++ b/viewsync/viewsync.go
@@ -80,6 +80,7 @@
 	parts            partTracker
 	publishedAt      time.Duration  // when the last view was published
 	eraPause         time.Duration  // since the store was restored, time that this process did not run
+	eraPauses        int            // gaps that make up eraPause
 	needSnapshot     bool           // the next fetch must request all records
 	recentRevisions  []revisionTime // oldest first
 }
