--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -52,7 +52,7 @@
 // once, by another balancer, while its request can still be answered in time. In a shorter peak, callers would spend
 // their retries within milliseconds.
 //
-// Only refusals for lack of slots count, of which one at least says that its target is overloaded: agents of versions that
+// Only refusals for lack of slots count, if a target of the service says that it is overloaded: agents of versions that
 // never say so, and targets that are cold, silent or starting, refuse for reasons that may end before the next SYN. A
 // process with an old view, or one that reaches no agent, does not know whether there is room. A flow is not reset if a
 // target may have accepted an earlier SYN.
@@ -60,7 +60,7 @@
 	if !d.sheds(e.service) || route.Objective <= 0 || now-d.confirmedAt > maxRefusalViewAge || d.loads.Isolated(now) {
 		return false
 	}
-	if e.refusedOther || !e.saidOverloaded {
+	if e.refusedOther || (!e.saidOverloaded && d.assessOverload(e, route, now).Said == 0) {
 		return false
 	}
 	class := classOf(e, route)
--- a/targetgate/lossproofs.go
+++ b/targetgate/lossproofs.go
@@ -11,7 +11,7 @@
 	// shuts down may close its port before it has answered all requests, a few of which take 7 times as long.
 	longRequestFactor = 10
 	minLongRequest    = 200 * time.Millisecond
-	maxLongRequest = 2 * time.Second
+	maxLongRequest    = 2 * time.Second
 	// maxProofAge is the age of the target's last packet of a flow up to which the return of another packet of the
 	// flow is a proof. Targets may close flows that have been idle for longer. It also bounds the time between two
 	// proofs.
--- a/targetgate/overload.go
+++ b/targetgate/overload.go
@@ -54,9 +54,9 @@
 // ReportsWait reports whether reports contain the wait: also in a recovery, when nothing is shed yet.
 func (g *Gate) ReportsWait() bool { return g.loadControl.Sheds(g.service, g.slots) }
 
-// maxRecoveryWaitShare bounds the wait that is reported in a recovery, as a share of the shortest objective: balancers
-// then offer fewer flows, but do not refuse any.
-const maxRecoveryWaitShare = 0.5
+// maxRecoveryWaitShare bounds the wait that is reported in a recovery, as a share of the shortest objective. It is below
+// the share from which balancers take a target as full: they refuse no flow because of it, but prefer targets with less.
+const maxRecoveryWaitShare = 0.2
 
 // ReportedWait returns the time that a new request of the lowest priority would wait for a slot, for reports to
 // balancers. While the target is overloaded, it is longer than the objective: the flow would be refused, although the
