Explain the placement of a flow with its inputs

Cause: packets explain named the first offer and the order, but not why. Change: the cost of a target is the sum of named parts, which explain lists with weights, admission and ages, for one balancer or several with their differences. Explaining uses Peek functions that record nothing.

--- a/cmd/cowslip-l4/status.go
+++ b/cmd/cowslip-l4/status.go
@@ -36,7 +36,9 @@
 			http.Error(w, "caller and service: want IP:port", http.StatusBadRequest)
 			return
 		}
-		writeJSON(w, b.Explain(flow.Key{Caller: flow.EndpointOf(caller), Service: flow.EndpointOf(service)}))
+		explanation := b.Explain(flow.Key{Caller: flow.EndpointOf(caller), Service: flow.EndpointOf(service)})
+		explanation.Balancer = s.VM
+		writeJSON(w, explanation)
 	})
 	return serve(lc, s.Metrics, mux, log)
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -217,14 +217,10 @@
 	if len(r.Choices) == 1 {
 		return r.Choices[0].Service
 	}
-	var sum uint64
-	for _, c := range r.Choices {
-		sum += uint64(c.Weight)
-	}
+	point, sum := r.HashPoint(hash)
 	if sum == 0 {
 		return ""
 	}
-	point := hash % sum
 	for _, c := range r.Choices {
 		if point < uint64(c.Weight) {
 			return c.Service
@@ -234,5 +230,17 @@
 	return ""
 }
 
+// HashPoint returns the point of a flow's hash among the weights of the choices, which follow each other from 0, and the
+// sum of the weights.
+func (r *Route) HashPoint(hash uint64) (point, sum uint64) {
+	for _, c := range r.Choices {
+		sum += uint64(c.Weight)
+	}
+	if sum == 0 {
+		return 0, 0
+	}
+	return hash % sum, sum
+}
+
 // NameHash returns the hash that identifies a service or a failure domain in messages between processes.
 func NameHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cowslipward/cowslipward/directory"
-	"github.com/cowslipward/cowslipward/flow"
 	"github.com/cowslipward/cowslipward/packetstatus"
 	"github.com/cowslipward/cowslipward/placement"
 )
@@ -67,27 +66,3 @@
 		return ""
 	}
 }
-
-// Explain describes how the dispatcher would handle a packet of the flow now: route, service, target and search
-// order.
-func (d *Dispatcher) Explain(key flow.Key, now time.Duration) packetstatus.Explanation {
-	route := d.view.Route(key.Service)
-	if route == nil {
-		return packetstatus.Explanation{}
-	}
-	service := route.ChooseService(key.Hash())
-	explanation := packetstatus.Explanation{Route: route.Name, Service: service}
-	if e, ok := d.table.Get(key, now); ok && e.target != nil {
-		explanation.KnownTarget = e.target.ID
-	}
-	d.chooser.SetRoute(route)
-	if choice := d.chooser.Choose(d.view, service, key.Hash(), nil, now); choice != nil {
-		explanation.Choice = choice.ID
-	}
-	for _, scope := range []searchScope{scopeRoute, scopeOthers} {
-		for _, t := range d.searchOrder(d.view, key, route, scope) {
-			explanation.Candidates = append(explanation.Candidates, d.describeTarget(t, now))
-		}
-	}
-	return explanation
-}
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -46,7 +46,15 @@
 		s.record(now)
 		d.storeShortage(class, s)
 	}
-	return s.last != 0 && now-s.last <= shortagePause && now-s.since > lastingObjectives*route.Objective
+	return s.isLasting(route.Objective, now)
+}
+
+// exists reports whether a flow found no room lately.
+func (s *shortage) exists(now time.Duration) bool { return s.last != 0 && now-s.last <= shortagePause }
+
+// isLasting reports whether flows of the latency objective have found no room for longer than twice that time.
+func (s *shortage) isLasting(objective, now time.Duration) bool {
+	return s.exists(now) && now-s.since > lastingObjectives*objective
 }
 
 // record records that a flow found no room.
--- a/flow/table.go
+++ b/flow/table.go
@@ -36,6 +36,15 @@
 	return v, ok
 }
 
+// Peek returns what Get would, but does not count as a use of the entry.
+func (t *Table[V]) Peek(key Key, now time.Duration) (V, bool) {
+	v, ok := t.current[key]
+	if !ok && !t.isRotationDue(now) {
+		v, ok = t.previous[key]
+	}
+	return v, ok
+}
+
 // Put sets the entry of a flow.
 func (t *Table[V]) Put(key Key, v V, now time.Duration) {
 	t.rotate(now)
@@ -65,9 +74,13 @@
 
 // rotate starts a new generation once the current one is full or older than the idle timeout.
 func (t *Table[V]) rotate(now time.Duration) {
-	if now-t.rotatedAt < t.idleTimeout && len(t.current) < t.generationLimit {
+	if !t.isRotationDue(now) {
 		return
 	}
 	t.previous, t.current = t.current, make(map[Key]V)
 	t.rotatedAt = now
 }
+
+func (t *Table[V]) isRotationDue(now time.Duration) bool {
+	return now-t.rotatedAt >= t.idleTimeout || len(t.current) >= t.generationLimit
+}
--- a/internal/ctl/packets_test.go
+++ b/internal/ctl/packets_test.go
@@ -131,3 +131,67 @@
 	code, _, _ = runCommand("packets", "burn", "--objective", "100", agent)
 	require.Equal(t, ctl.ExitUsage, code)
 }
+
+// explanationBody returns what a balancer answers about a flow, with a target whose load is as given.
+func explanationBody(domain string, load, remote float64) string {
+	return fmt.Sprintf(`{"vm":"entry-%[1]s","failure_domain":"%[1]s","version":7,"revision":12,"store_era":3,"view_age_ms":200,"route":"r-1",
+		"service":"bench","hash_point":2,"choices":[{"service":"bench","from":0,"to":3},{"service":"archive","from":3,"to":4}],
+		"admission":{"priority":2,"objective_ms":300,"said":6,"full":7,"eligible":8,"direct":true,"overloaded":true,"for_ms":40},
+		"choice":"i-1","outcome":"direct","order":[
+		{"id":"i-1","service":"bench","slots":2,"eligible":true,"report_age_ms":150,"wait_ms":80,"cost":%[4]g,
+			"parts":[{"name":"load","value":%[2]g,"detail":"1.00 in progress"},{"name":"failure domain","value":%[3]g}]},
+		{"id":"i-2","service":"archive","cold_for_ms":1500,"cold_rate":2.5,"reason":"cold for 1.5s"}]}`, domain, load, remote, load+remote)
+}
+
+// Guards against inputs of a decision that operators cannot see: weights, admission, parts of the cost and ages.
+func TestPacketsExplainShowsTheInputsOfADecision(t *testing.T) {
+	balancer := startProcess(t, map[string]string{packetstatus.ExplainPath: explanationBody("a", 0.5, 0.3)})
+	code, out, errs := runCommand("packets", "explain", balancer, "1.1.1.1:5", "2.2.2.2:443")
+	require.Equal(t, ctl.ExitDone, code, errs)
+	for _, want := range []string{
+		`balancer entry-a \(.*\), failure domain a: configuration 7, revision 12 of era 3, view confirmed 200ms ago`,
+		`route r-1, service bench: the hash of the flow is at 2; bench has weight 3, from 0 to below 3; archive has weight 1`,
+		`7 said that they are full, 6 that they are overloaded; new flows go directly .*; overloaded for 40ms`,
+		`first offer of a new flow: i-1, which may queue it: the service is full`,
+		`i-1 .* true +0.80 +150ms ago +80ms`,
+		`i-2 .* - +- +- +1.5s, 2.5 flows/s +cold for 1.5s`,
+		`i-1 +load +\+0.500 +1.00 in progress`,
+		`i-1 +failure domain +\+0.300`,
+	} {
+		require.Regexp(t, want, out)
+	}
+	code, out, _ = runCommand("packets", "explain", "--output", "json", balancer, "1.1.1.1:5", "2.2.2.2:443")
+	require.Equal(t, ctl.ExitDone, code)
+	var got packetstatus.Explanation
+	require.NoError(t, json.Unmarshal([]byte(out), &got))
+	require.Equal(t, "i-1", got.Choice, "one balancer: the fields are at the top, as in earlier versions")
+	code, _, _ = runCommand("packets", "explain", "1.1.1.1:5", "2.2.2.2:443")
+	require.Equal(t, ctl.ExitUsage, code)
+}
+
+// Guards against balancers that disagree without the figure being named, and against figures that do not differ.
+func TestPacketsExplainNamesTheDifferences(t *testing.T) {
+	a := startProcess(t, map[string]string{packetstatus.ExplainPath: explanationBody("a", 0.5, 0)})
+	b := startProcess(t, map[string]string{packetstatus.ExplainPath: explanationBody("b", 0.5, 0.3)})
+	code, out, errs := runCommand("packets", "explain", "--balancer", a, "--balancer", b, "1.1.1.1:5", "2.2.2.2:443")
+	require.Equal(t, ctl.ExitDone, code, errs)
+	_, table, _ := strings.Cut(out, "DIFFERS")
+	require.Regexp(t, `cost +i-1 +0.50 +0.80\n`, table)
+	require.NotContains(t, table, "cost: load")
+	require.NotContains(t, table, "configuration")
+	code, out, _ = runCommand("packets", "explain", "-o", "json", a, "1.1.1.1:5", "2.2.2.2:443", "--balancer", b, "--balancer", "127.0.0.1:1")
+	require.Equal(t, ctl.ExitPartial, code)
+	var got struct {
+		Balancers   []packetstatus.Explanation
+		Differences []struct {
+			Target, Figure string
+			Values         []string
+		}
+	}
+	require.NoError(t, json.Unmarshal([]byte(out), &got))
+	require.Len(t, got.Balancers, 2)
+	require.Len(t, got.Differences, 3)
+	require.Equal(t, []string{"a", "b"}, got.Differences[0].Values)
+	_, out, _ = runCommand("packets", "explain", "--balancer", a, "--balancer", a, "1.1.1.1:5", "2.2.2.2:443")
+	require.Contains(t, out, "the 2 balancers do not differ")
+}
--- a/packetstatus/packetstatus.go
+++ b/packetstatus/packetstatus.go
@@ -69,15 +69,6 @@
 	DurationMS float64 `json:"duration_ms,omitempty"` // longest of the mean times in which it answers the requests of a route
 }
 
-// Explanation describes which targets a balancer would choose for a flow, and in which order.
-type Explanation struct {
-	Route       string   `json:"route"`
-	Service     string   `json:"service"`
-	KnownTarget string   `json:"known"`  // ID of the flow's target in the flow table, or empty
-	Choice      string   `json:"choice"` // ID of the target to which a new flow would be offered first, or empty
-	Candidates  []Target `json:"order"`  // order in which they are offered a new flow, or searched for an open one
-}
-
 // Agent is the status of an agent and its target.
 type Agent struct {
 	VM      string `json:"vm"`
--- a/placement/isolation.go
+++ b/placement/isolation.go
@@ -16,10 +16,13 @@
 // Isolated reports whether the process can reach no agent of a target in the view: it sent packets to several
 // agents and received no report from such an agent since. The process stays isolated until the next such report.
 func (l *LoadTracker) Isolated(now time.Duration) bool {
-	l.isolated = l.isolated || l.isCutOff(now)
+	l.isolated = l.WouldBeIsolated(now)
 	return l.isolated
 }
 
+// WouldBeIsolated returns the result of Isolated without recording it.
+func (l *LoadTracker) WouldBeIsolated(now time.Duration) bool { return l.isolated || l.isCutOff(now) }
+
 func (l *LoadTracker) isCutOff(now time.Duration) bool {
 	if now-l.lastContactAt <= isolationTimeout {
 		return false
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -256,12 +256,17 @@
 
 // cost returns the cost of a target for a flow of the route that was set, and its load with the same penalties.
 func (c *Chooser) cost(t *directory.Target, now time.Duration) (cost, load float64) {
-	cost, load = c.Loads.routeCost(t, c.route, now)
+	var parts CostParts
+	c.costParts(t, now, &parts)
+	return parts.Sum(), parts.load()
+}
+
+// costParts computes the parts of the cost of a target for a flow of the route that was set.
+func (c *Chooser) costParts(t *directory.Target, now time.Duration, parts *CostParts) {
+	c.Loads.routeCost(t, c.route, now, parts)
 	if t.Domain != c.LocalDomain {
-		cost += remotePenalty
-		load += remotePenalty
+		parts.Remote = remotePenalty
 	}
-	return cost, load
 }
 
 // SearchOrder appends all targets of the services to dst, in the order in which they are searched for an open flow.
