--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -32,9 +32,12 @@
 	all    int           // all first SYNs since then
 }
 
-// isLasting reports whether the shortage has lasted for twice the objective and goes on.
+// exists reports whether a flow found no room lately. s may be nil.
+func (s *shortage) exists(now time.Duration) bool { return s != nil && now-s.last <= shortagePause }
+
+// isLasting reports whether the shortage has lasted for twice the objective and goes on. s may be nil.
 func (s *shortage) isLasting(objective, now time.Duration) bool {
-	return now-s.last <= shortagePause && now-s.since > lastingObjectives*objective && s.noRoom*minShortageShare >= s.all
+	return s.exists(now) && now-s.since > lastingObjectives*objective && s.noRoom*minShortageShare >= s.all
 }
 
 // countSyn counts a SYN that is placed, for the share of those that find no room.
@@ -68,12 +71,12 @@
 	if p.Retransmission == 0 { // a retransmission may be too old to be answered in time by any target
 		s = d.recordShortage(class, s, now)
 	}
-	return s != nil && !e.unanswered && s.isLasting(route.Objective, now)
+	return !e.unanswered && s.isLasting(route.Objective, now)
 }
 
 // recordShortage records that a flow of the class found no room. s is the present shortage, or nil.
 func (d *Dispatcher) recordShortage(class placement.Class, s *shortage, now time.Duration) *shortage {
-	if s == nil || now-s.last > shortagePause {
+	if !s.exists(now) {
 		if len(d.shortages) >= maxShortages {
 			clear(d.shortages)
 		}
