--- a/test/soak/bed.go
+++ b/test/soak/bed.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cowslipward/cowslipward/flow"
+	"github.com/cowslipward/cowslipward/loadcontrol"
 	"github.com/cowslipward/cowslipward/platform/platformtest"
 	"github.com/cowslipward/cowslipward/test/child"
 )
@@ -206,10 +207,12 @@
 	s := map[string]any{
 		"vm": v.name, "failure_domain": v.domain, "packets": v.address(packetsPort), "tunnel": v.address(tunnelPort),
 		"ready": v.address(readyPort), "metrics": v.address(metricsPort), "stop_delay": "1200ms",
-		"log": map[string]any{"level": "info", "rate": 1000},
+		"log":          map[string]any{"level": "info", "rate": 1000},
+		"load_control": map[string]any{"max_slots": loadcontrol.MaxSlotsAll},
 	}
 	if v.role == "agent" {
 		s["service"], s["target"], s["outbound"] = v.service, v.address(appPort), v.address(outPort)
+		s["reset_ended_flows"] = true
 		return s
 	}
 	s["peers"], s["store"], s["domain_out_flows"] = v.address(peersPort), v.store.address(), "keep"
