--- a/review/lab3/bed.go
+++ b/review/lab3/bed.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/netip"
 	"os"
@@ -39,9 +38,10 @@
 	children map[string]*child.Process
 	hosts    []*host
 
-	mu   sync.Mutex
-	sent map[flow.Key]time.Time // when the first packet of each flow was sent
-	ids  atomic.Int64
+	mu    sync.Mutex
+	sent  map[flow.Key]time.Time // when the first packet of each flow was sent
+	ids   atomic.Int64
+	alone bool // fronts do not know each other
 }
 
 // newBed returns a deployment without processes, in a temporary folder.
@@ -123,10 +123,10 @@
 // startFront starts the process of front machine n.
 func (b *bed) startFront(n int, zone string) error {
 	ip := b.ip(netFronts, n)
-	name := fmt.Sprintf("front-%d", n)
+	name := frontName(n)
 	s := b.common(name, zone, ip)
 	s["peers"], s["store"] = at(ip, b.ports.control), b.store.Address()
-	s["seeds"] = []netip.AddrPort{at(b.ip(netFronts, 0), b.ports.control), at(b.ip(netFronts, 1), b.ports.control)}
+	s["seeds"] = b.seeds(n)
 	s["domain_out"], s["domain_out_flows"] = "5000ms", "keep"
 	if n >= len(b.fronts) {
 		b.fronts = append(b.fronts, ip)
@@ -174,3 +174,11 @@
 		_ = os.RemoveAll(b.dir)
 	}
 }
+
+// seeds returns the seeds of front machine n.
+func (b *bed) seeds(n int) []netip.AddrPort {
+	if b.alone {
+		return []netip.AddrPort{at(b.ip(netFronts, n), b.ports.control)}
+	}
+	return []netip.AddrPort{at(b.ip(netFronts, 0), b.ports.control), at(b.ip(netFronts, 1), b.ports.control)}
+}
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(b *bed, trouble bool) (held bool, err error){
 	"cold-agent-killed": coldAgentKilled,
 	"cold-store-down":   coldStoreDown,
+	"planned-stops":     plannedStops,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
