--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -1,5 +1,5 @@
 // Command lab3 plays the scripts of the third review: it starts the programs of the deploy file as processes on loopback
-// addresses, with stand-ins for the store, hosts and clients, brings about a disruption, and judges one rule.
+// addresses, with stand-ins for the store and a host, brings about a disruption, and judges what becomes of the processes.
 package main
 
 import (
@@ -15,18 +15,22 @@
 	exitNotRun = 2
 )
 
-// cases are the scripts by name. Each returns whether the rule held.
-var cases = map[string]func(b *bed, trouble bool) (held bool, err error){
-	"cold-agent-killed": coldAgentKilled,
-	"cold-store-down":   coldStoreDown,
-	"planned-stops":     plannedStops,
+// script is a case. It returns whether the rule held.
+type script struct {
+	fronts int
+	play   func(b *bed, trouble bool) (held bool, err error)
+}
+
+var scripts = map[string]script{
+	"hup-while-starting": {fronts: hupFronts, play: hupWhileStarting},
+	"planned-stops":      {fronts: stopFronts, play: plannedStops},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: lab3 CASE FOLDER")
+	if len(args) != 2 || scripts[args[0]].play == nil {
+		fmt.Fprintln(os.Stderr, "usage: lab3 SCRIPT FOLDER")
 		return exitNotRun
 	}
 	rec, err := newRecord(filepath.Join(args[1], "record.txt"))
@@ -34,25 +38,26 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	b, err := newBed(rec)
+	chosen := scripts[args[0]]
+	b, err := newBed(rec, chosen.fronts)
 	if err != nil {
 		rec.event("not run: %v", err)
 		return exitNotRun
 	}
 	defer b.close()
 	trouble := os.Getenv("TROUBLE") != "0"
-	rec.event("case %s, disruption %t", args[0], trouble)
-	held, err := cases[args[0]](b, trouble)
+	rec.event("script %s, disruption %t", args[0], trouble)
+	held, err := chosen.play(b, trouble)
 	switch {
 	case err != nil:
 		rec.event("not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	case held:
-		rec.event("the rule held")
+		rec.event("no process crashed")
 		return exitHeld
 	default:
-		rec.event("the rule was broken")
+		rec.event("a process crashed")
 		return exitBroken
 	}
 }
--- a/review/lab3/record.go
+++ b/review/lab3/record.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// record is the file in which a case writes what was sent, answered and run.
+// record is the file in which a script writes what it did and saw.
 type record struct {
 	mu    sync.Mutex
 	file  *os.File
@@ -28,6 +28,3 @@
 	defer r.mu.Unlock()
 	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
-
-// since returns the seconds between the start and a time.
-func (r *record) since(t time.Time) float64 { return t.Sub(r.start).Seconds() }
