--- a/review/lab3/bed.go
+++ b/review/lab3/bed.go
@@ -130,7 +130,7 @@
 
 // publish writes a configuration with one route.
 func (b *bed) publish() {
-	const text = `{"version":7,"routes":[{"name":"r-members","host":"198.18.0.1","prefix":"/8443/","type":"safe","timeoutMs":3000,` +
+	const text = `{"version":7,"routes":[{"name":"r-members","host":"127.255.0.1","prefix":"/8443/","type":"safe","timeoutMs":3000,` +
 		`"sloMs":200,"priority":2,"service":"members","attempts":2}],"services":[{"name":"members","healthPath":"/health",` +
 		`"maxConns":2000,"protocol":"h1","tls":false,"warmupS":2.0,"warmupPerS":0.0}],"limits":{"maxHeaderBytes":16384,` +
 		`"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
--- a/review/lab3/hup.go
+++ b/review/lab3/hup.go
@@ -28,11 +28,13 @@
 			if err := b.startFront(n); err != nil {
 				return false, err
 			}
-			process, after := b.fronts[n], rand.N(hupGap)
+			process, after, born := b.fronts[n], rand.N(hupGap), time.Now()
 			if trouble && rand.Float64() < hupShare {
 				group.Go(func() {
 					time.Sleep(after)
-					if process.Signal(syscall.SIGHUP) == nil {
+					age, err := time.Since(born), process.Signal(syscall.SIGHUP)
+					b.record.event("%s: SIGHUP sent %s after its start, error %v", frontName(n), age, err)
+					if err == nil {
 						signals.Add(1)
 					}
 				})
--- a/review/lab3/stop.go
+++ b/review/lab3/stop.go
@@ -46,9 +46,7 @@
 // stopFronts stops all fronts with SIGTERM and waits for their end.
 func (b *bed) stopFronts() {
 	for n, process := range b.fronts {
-		if err := process.Signal(syscall.SIGTERM); err != nil {
-			b.record.event("%s: %v", frontName(n), err)
-		}
+		b.record.event("%s: SIGTERM sent, error %v", frontName(n), process.Signal(syscall.SIGTERM))
 	}
 	for n, process := range b.fronts {
 		b.record.event("%s ended: %v", frontName(n), process.Await(stopTimeout))
@@ -63,9 +61,20 @@
 		text, _ := os.ReadFile(path)
 		if _, trace, found := strings.Cut(string(text), "panic: "); found {
 			crashes++
-			b.record.event("%s crashed: panic: %.1500s", frontName(n), trace)
+			b.record.event("%s crashed: panic: %s", frontName(n), withoutFiles(trace))
 		}
 		_ = os.Truncate(path, 0)
 	}
 	return crashes
 }
+
+// withoutFiles returns a trace without the lines that name source files, whose paths belong to the machine.
+func withoutFiles(trace string) string {
+	var kept []string
+	for line := range strings.Lines(trace) {
+		if !strings.HasPrefix(line, "\t") {
+			kept = append(kept, strings.TrimSpace(line))
+		}
+	}
+	return strings.Join(kept, "\n          ")
+}
